--- /dev/null
+++ b/src/bin/scheduler.rs
@@ -0,0 +1,10 @@
+//! The scheduler's program.
+
+use std::process::ExitCode;
+
+use hemlockramp::command::daemon::run_program;
+use hemlockramp::command::programs::SchedulerProgram;
+
+fn main() -> ExitCode {
+    run_program::<SchedulerProgram>(std::env::args_os().skip(1))
+}
--- /dev/null
+++ b/src/command/daemon.rs
@@ -0,0 +1,187 @@
+//! The command line that both daemons share.
+
+use std::ffi::OsString;
+use std::future::Future;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use eyre::{Report, bail, eyre};
+use lexopt::prelude::{Long, Short, Value};
+use metrics_exporter_prometheus::PrometheusHandle;
+use schemars::JsonSchema;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::daemons::observe::{start_logs, start_metrics, wait_for_signal};
+use crate::settings::load::load_settings;
+
+/// Exit code of a wrong command line or wrong settings.
+pub const EXIT_USAGE: u8 = 2;
+/// Exit code of any other failure.
+pub const EXIT_FAILURE: u8 = 1;
+
+/// What a daemon is asked to do.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum DaemonMode {
+    #[default]
+    Run,
+    PrintConfig,
+    CheckSettings,
+    PrintSchema,
+}
+
+/// The daemon's command line.
+#[derive(Clone, Debug, Default)]
+struct DaemonLine {
+    mode: DaemonMode,
+    settings: Option<PathBuf>,
+    json_logs: bool,
+    done: bool,
+}
+
+/// A daemon with its settings.
+pub trait DaemonProgram {
+    /// Settings as they stand in the file.
+    type Raw: DeserializeOwned + Serialize + JsonSchema + Clone;
+    /// Checked settings.
+    type Checked: TryFrom<Self::Raw, Error = Report>;
+    /// The running daemon.
+    type Daemon;
+
+    /// The program's name.
+    const NAME: &'static str;
+
+    /// Returns the raw settings, defaults filled in.
+    fn raw(settings: &Self::Checked) -> Self::Raw;
+
+    /// Starts the daemon.
+    ///
+    /// # Errors
+    ///
+    /// Fails when its address cannot be bound.
+    fn start(
+        settings: Self::Checked,
+        metrics: PrometheusHandle,
+    ) -> impl Future<Output = Result<Self::Daemon, Report>>;
+
+    /// Stops it gracefully.
+    fn close(daemon: Self::Daemon) -> impl Future<Output = ()>;
+}
+
+/// Runs a daemon's command line to its end.
+pub fn run_program<P: DaemonProgram>(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let line = match parse_line::<P>(arguments) {
+        Ok(line) if line.done => return ExitCode::SUCCESS,
+        Ok(line) => line,
+        Err(error) => return fail::<P>(&error, EXIT_USAGE),
+    };
+    if line.mode == DaemonMode::PrintSchema {
+        println!("{}", schema_text::<P::Raw>());
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = &line.settings else {
+        return fail::<P>(&eyre!("a settings file is needed; see --help"), EXIT_USAGE);
+    };
+    let settings = match load_settings::<P::Raw, P::Checked>(path) {
+        Ok(settings) => settings,
+        Err(error) => return fail::<P>(&error, EXIT_USAGE),
+    };
+    match line.mode {
+        DaemonMode::PrintConfig => {
+            let raw = serde_json::to_string_pretty(&P::raw(&settings));
+            println!("{}", raw.unwrap_or_default());
+            ExitCode::SUCCESS
+        }
+        DaemonMode::CheckSettings => {
+            println!("{}: good", path.display());
+            ExitCode::SUCCESS
+        }
+        _ => run_daemon::<P>(settings, line.json_logs),
+    }
+}
+
+/// Returns the JSON schema of settings, as it is committed.
+pub fn schema_text<T: JsonSchema>() -> String {
+    let schema = schemars::schema_for!(T);
+    serde_json::to_string_pretty(&schema).unwrap_or_default()
+}
+
+fn run_daemon<P: DaemonProgram>(settings: P::Checked, json_logs: bool) -> ExitCode {
+    start_logs(json_logs);
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail::<P>(&error.into(), EXIT_FAILURE),
+    };
+    match runtime.block_on(serve::<P>(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail::<P>(&error, EXIT_FAILURE),
+    }
+}
+
+async fn serve<P: DaemonProgram>(settings: P::Checked) -> Result<(), Report> {
+    let daemon = P::start(settings, start_metrics()?).await?;
+    wait_for_signal().await?;
+    tokio::select! {
+        () = P::close(daemon) => {}
+        signalled = wait_for_signal() => {
+            signalled?;
+            log::warn!("{}: a second signal ends it at once.", P::NAME);
+        }
+    }
+    Ok(())
+}
+
+fn fail<P: DaemonProgram>(error: &Report, code: u8) -> ExitCode {
+    eprintln!("{}: {error:#}", P::NAME);
+    ExitCode::from(code)
+}
+
+fn parse_line<P: DaemonProgram>(
+    arguments: impl IntoIterator<Item = OsString>,
+) -> Result<DaemonLine, Report> {
+    let mut parser = lexopt::Parser::from_args(arguments);
+    let mut line = DaemonLine::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Short('h') | Long("help") => {
+                println!("{}", help_text(P::NAME));
+                line.done = true;
+            }
+            Short('V') | Long("version") => {
+                println!("{} {}", P::NAME, env!("CARGO_PKG_VERSION"));
+                line.done = true;
+            }
+            Long("json-logs") => line.json_logs = true,
+            Value(word) => take_word(&mut line, &word)?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(line)
+}
+
+fn take_word(line: &mut DaemonLine, word: &OsString) -> Result<(), Report> {
+    let first = line.mode == DaemonMode::Run && line.settings.is_none();
+    match word.to_str() {
+        Some("print-config") if first => line.mode = DaemonMode::PrintConfig,
+        Some("check-settings") if first => line.mode = DaemonMode::CheckSettings,
+        Some("print-schema") if first => line.mode = DaemonMode::PrintSchema,
+        _ if line.settings.is_none() => line.settings = Some(PathBuf::from(word)),
+        _ => bail!("one settings file is wanted, and {word:?} is a second"),
+    }
+    Ok(())
+}
+
+fn help_text(name: &str) -> String {
+    format!(
+        "Usage: {name} [--json-logs] SETTINGS\n       \
+         {name} print-config SETTINGS\n       \
+         {name} check-settings SETTINGS\n       \
+         {name} print-schema\n\n\
+         SETTINGS is a JSON file; docs/SETTINGS.md lists its keys.\n\
+         --json-logs   log as JSON lines\n\
+         --help, --version\n\n\
+         HEMLOCKRAMP_LOG sets the log filter (error, warn, info, debug).\n\
+         SIGTERM or SIGINT shuts down gracefully; a second one ends at once.\n\
+         Exit codes: 0 good, 1 failed, 2 wrong command line or settings."
+    )
+}
--- /dev/null
+++ b/src/command/mod.rs
@@ -0,0 +1,5 @@
+//! Command lines of the programs.
+
+pub mod daemon;
+pub mod operator;
+pub mod programs;
--- /dev/null
+++ b/src/command/operator.rs
@@ -0,0 +1,436 @@
+//! The operators' command line: tickets, jobs, reports, audit, hosts.
+
+use std::ffi::OsString;
+use std::fmt::Write;
+use std::fs;
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use eyre::{Report, bail, eyre};
+use lexopt::prelude::{Long, Short, Value};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::command::daemon::{EXIT_FAILURE, EXIT_USAGE};
+use crate::routing::verdict::{CallFailure, RunVerdict};
+use crate::settings::gateway::{GatewaySettings, RawGatewaySettings};
+use crate::settings::load::load_settings;
+use crate::settings::scheduler::{RawSchedulerSettings, SchedulerSettings};
+use crate::tables::audit::AuditRow;
+use crate::tables::job::JobSpec;
+use crate::tables::name::ObjectName;
+use crate::tables::ticket::TicketSpec;
+use crate::wire::api::{ChangeView, ExplainView, HostsView, JobView, TicketView};
+use crate::wire::http::HttpClient;
+
+/// Exit code of a change that was refused and did not run.
+const EXIT_NOT_RUN: u8 = 3;
+/// Exit code of a change that may have run.
+const EXIT_MAY_HAVE_RUN: u8 = 4;
+/// Time for the gateway to answer, in ms.
+const ANSWER_MS: u64 = 15_000;
+/// Gateway asked when none is named.
+const DEFAULT_GATEWAY: &str = "127.0.0.1:7100";
+/// Calls made by `timings`.
+const TIMINGS_CALLS: usize = 20;
+
+const HELP: &str = "\
+Usage: hemlockramp [--gateway IP:PORT] [--json] COMMAND
+
+  ticket apply FILE       apply a change ticket (JSON)
+  ticket show N           show ticket N and on which hosts it is in force
+  job submit FILE         submit a job (JSON)
+  job cancel ID...        cancel jobs
+  job status ID           show a job
+  job explain ID          show each step of a job with its cause; also: explain ID
+  report                  figures by team, in the gateway's layout
+  audit [--kind K] [--actor A] [--subject TEXT] [--refused] [--limit N]
+                          the audit trail
+  hosts                   entry hosts and workers
+  print-config FILE       a settings file with all defaults filled in
+  check-settings FILE     check a settings file
+  timings                 how long the gateway takes to answer
+
+  --json                  print tables as JSON
+  --help, --version
+
+HEMLOCKRAMP_GATEWAY names the gateway when --gateway does not; default 127.0.0.1:7100.
+Exit codes: 0 good, 1 failed, 2 wrong command line or file, 3 not run, 4 may have run.";
+
+/// The command line.
+#[derive(Clone, Debug, Default)]
+struct OperatorLine {
+    gateway: Option<String>,
+    json: bool,
+    words: Vec<String>,
+    audit: AuditOptions,
+    done: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct AuditOptions {
+    kind: Option<String>,
+    actor: Option<String>,
+    subject: Option<String>,
+    refused: bool,
+    limit: Option<String>,
+}
+
+/// Rows of the audit trail.
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(transparent)]
+struct AuditRows(Vec<AuditRow>);
+
+/// Why a command failed.
+enum OperatorError {
+    Usage(Report),
+    Call(CallFailure),
+}
+
+impl From<Report> for OperatorError {
+    fn from(error: Report) -> Self {
+        Self::Usage(error)
+    }
+}
+
+impl From<CallFailure> for OperatorError {
+    fn from(failure: CallFailure) -> Self {
+        Self::Call(failure)
+    }
+}
+
+/// Runs the command line to its end.
+pub fn run_operator(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let line = match parse_line(arguments) {
+        Ok(line) if line.done => return ExitCode::SUCCESS,
+        Ok(line) => line,
+        Err(error) => return fail(&error.into()),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let result = match runtime {
+        Ok(runtime) => runtime.block_on(run_command(&line)),
+        Err(error) => Err(OperatorError::Usage(error.into())),
+    };
+    match result {
+        Ok(text) => {
+            println!("{}", text.trim_end());
+            ExitCode::SUCCESS
+        }
+        Err(error) => fail(&error),
+    }
+}
+
+fn fail(error: &OperatorError) -> ExitCode {
+    match error {
+        OperatorError::Usage(error) => {
+            eprintln!("hemlockramp: {error:#}");
+            ExitCode::from(EXIT_USAGE)
+        }
+        OperatorError::Call(failure) => {
+            eprintln!("hemlockramp: {failure}");
+            ExitCode::from(match failure.verdict {
+                RunVerdict::NotRun => EXIT_NOT_RUN,
+                RunVerdict::MayHaveRun => EXIT_MAY_HAVE_RUN,
+                RunVerdict::Ran => EXIT_FAILURE,
+            })
+        }
+    }
+}
+
+fn parse_line(arguments: impl IntoIterator<Item = OsString>) -> Result<OperatorLine, Report> {
+    let mut parser = lexopt::Parser::from_args(arguments);
+    let mut line = OperatorLine::default();
+    let text = |value: OsString| {
+        value
+            .into_string()
+            .map_err(|_| eyre!("not readable as text"))
+    };
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Short('h') | Long("help") => {
+                println!("{HELP}");
+                line.done = true;
+            }
+            Short('V') | Long("version") => {
+                println!("hemlockramp {}", env!("CARGO_PKG_VERSION"));
+                line.done = true;
+            }
+            Long("json") => line.json = true,
+            Long("gateway") => line.gateway = Some(text(parser.value()?)?),
+            Long("kind") => line.audit.kind = Some(text(parser.value()?)?),
+            Long("actor") => line.audit.actor = Some(text(parser.value()?)?),
+            Long("subject") => line.audit.subject = Some(text(parser.value()?)?),
+            Long("limit") => line.audit.limit = Some(text(parser.value()?)?),
+            Long("refused") => line.audit.refused = true,
+            Value(word) => line.words.push(text(word)?),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    if line.words.is_empty() && !line.done {
+        bail!("a command is needed; see --help");
+    }
+    Ok(line)
+}
+
+async fn run_command(line: &OperatorLine) -> Result<String, OperatorError> {
+    let words: Vec<&str> = line.words.iter().map(String::as_str).collect();
+    let client = GatewayClient::new(line);
+    match words.as_slice() {
+        ["ticket", "apply", file] => {
+            client
+                .apply(read_file::<TicketSpec>(file)?, "tickets")
+                .await
+        }
+        ["job", "submit", file] => client.apply(read_file::<JobSpec>(file)?, "jobs").await,
+        ["ticket", "show", number] => client.show(&format!("tickets/{number}"), ticket_text).await,
+        ["job", "status", id] => client.show(&format!("jobs/{id}"), job_text).await,
+        ["job", "explain", id] | ["explain", id] => {
+            client
+                .show(&format!("jobs/{id}/explain"), explain_text)
+                .await
+        }
+        ["job", "cancel", ids @ ..] if !ids.is_empty() => client.cancel(ids).await,
+        ["report"] => client.report().await,
+        ["audit"] => client.show(&audit_path(&line.audit)?, audit_text).await,
+        ["hosts"] => client.show("hosts", hosts_text).await,
+        ["timings"] => client.timings().await,
+        ["print-config", file] => Ok(settings_text(Path::new(file))?),
+        ["check-settings", file] => {
+            settings_text(Path::new(file))?;
+            Ok(format!("{file}: good"))
+        }
+        other => Err(eyre!("no such command: {}; see --help", other.join(" ")).into()),
+    }
+}
+
+fn read_file<T: DeserializeOwned>(file: &str) -> Result<T, Report> {
+    let text = fs::read_to_string(file).map_err(|error| eyre!("{file}: {error}"))?;
+    crate::settings::load::parse_settings(&text).map_err(|error| eyre!("{file}: {error}"))
+}
+
+/// Reads either daemon's settings: a gateway's name their schedulers.
+fn settings_text(path: &Path) -> Result<String, Report> {
+    let text = fs::read_to_string(path).map_err(|error| eyre!("{}: {error}", path.display()))?;
+    let value: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+    let raw = match value.get("schedulers") {
+        Some(_) => {
+            let settings = load_settings::<RawGatewaySettings, GatewaySettings>(path)?;
+            serde_json::to_string_pretty(&settings.raw)?
+        }
+        None => {
+            let settings = load_settings::<RawSchedulerSettings, SchedulerSettings>(path)?;
+            serde_json::to_string_pretty(&settings.raw)?
+        }
+    };
+    Ok(raw)
+}
+
+/// Calls one gateway.
+struct GatewayClient {
+    client: HttpClient,
+    base: String,
+    json: bool,
+}
+
+impl GatewayClient {
+    fn new(line: &OperatorLine) -> Self {
+        let variable = std::env::var("HEMLOCKRAMP_GATEWAY").ok();
+        let gateway = line.gateway.clone().or(variable);
+        let gateway = gateway.unwrap_or_else(|| DEFAULT_GATEWAY.to_owned());
+        Self {
+            client: HttpClient::default(),
+            base: format!("http://{gateway}"),
+            json: line.json,
+        }
+    }
+
+    fn limit(&self) -> Duration {
+        Duration::from_millis(ANSWER_MS)
+    }
+
+    async fn apply<T: Serialize>(&self, body: T, path: &str) -> Result<String, OperatorError> {
+        let url = format!("{}/{path}", self.base);
+        let view: ChangeView = self.client.post(&url, &body, self.limit()).await?;
+        self.print(&view, |view| {
+            format!("accepted at log offset {}", view.offset)
+        })
+    }
+
+    async fn cancel(&self, ids: &[&str]) -> Result<String, OperatorError> {
+        let names: Result<Vec<ObjectName>, Report> =
+            ids.iter().map(|id| ObjectName::try_from(*id)).collect();
+        let body = serde_json::json!({ "jobs": names? });
+        self.apply(body, "cancellations").await
+    }
+
+    async fn show<T: DeserializeOwned + Serialize>(
+        &self,
+        path: &str,
+        text: impl Fn(&T) -> String,
+    ) -> Result<String, OperatorError> {
+        let url = format!("{}/{path}", self.base);
+        let view: T = self.client.get(&url, self.limit()).await?;
+        self.print(&view, text)
+    }
+
+    fn print<T: Serialize>(
+        &self,
+        view: &T,
+        text: impl Fn(&T) -> String,
+    ) -> Result<String, OperatorError> {
+        match self.json {
+            true => {
+                let json = serde_json::to_string_pretty(view);
+                json.map_err(|error| OperatorError::Usage(error.into()))
+            }
+            false => Ok(text(view)),
+        }
+    }
+
+    async fn report(&self) -> Result<String, OperatorError> {
+        let url = format!("{}/report?json={}", self.base, self.json);
+        if self.json {
+            let value: serde_json::Value = self.client.get(&url, self.limit()).await?;
+            return self.print(&value, |value| value.to_string());
+        }
+        Ok(self.client.get_text(&url, self.limit()).await?)
+    }
+
+    async fn timings(&self) -> Result<String, OperatorError> {
+        let mut text = String::new();
+        for path in ["live", "ready", "report"] {
+            let mut times = Vec::new();
+            for _ in 0..TIMINGS_CALLS {
+                let started = Instant::now();
+                let url = format!("{}/{path}", self.base);
+                self.client.get_text(&url, self.limit()).await?;
+                times.push(started.elapsed());
+            }
+            times.sort();
+            let (median, most) = (times[TIMINGS_CALLS / 2], times[TIMINGS_CALLS - 1]);
+            let _ = writeln!(
+                text,
+                "{path:<8} median {median:>10.2?}  longest {most:>10.2?}"
+            );
+        }
+        Ok(text)
+    }
+}
+
+fn audit_path(options: &AuditOptions) -> Result<String, Report> {
+    let mut query = Vec::new();
+    let mut add = |key: &str, value: &Option<String>| {
+        if let Some(value) = value {
+            query.push(format!("{key}={}", value.replace(' ', "%20")));
+        }
+    };
+    add("kind", &options.kind);
+    add("actor", &options.actor);
+    add("subject", &options.subject);
+    add("limit", &options.limit);
+    if options.refused {
+        query.push("refused=true".to_owned());
+    }
+    Ok(format!("audit?{}", query.join("&")))
+}
+
+fn job_text(job: &JobView) -> String {
+    let reason = job
+        .reason
+        .as_ref()
+        .map_or(String::new(), |reason| format!(": {reason}"));
+    format!(
+        "job {} of team {}: {}{reason} (attempts {}, evictions {})",
+        job.id, job.team, job.state, job.attempts, job.evictions
+    )
+}
+
+fn explain_text(view: &ExplainView) -> String {
+    let mut text = format!("{}\n", job_text(&view.job));
+    let start_ms = view.job.submitted_ms;
+    for step in &view.steps {
+        let after_ms = step.at_ms.saturating_sub(start_ms);
+        let _ = writeln!(
+            text,
+            "  +{after_ms:>8} ms  offset {:>7}  {}",
+            step.offset, step.text
+        );
+    }
+    for task in &view.tasks {
+        let bits = task.accelerators;
+        let _ = writeln!(
+            text,
+            "  task on {} accelerators {bits:08b} {}",
+            task.worker, task.state
+        );
+    }
+    if let Some(reason) = &view.waits_for {
+        let _ = writeln!(text, "  waits: {reason}");
+    }
+    text
+}
+
+fn ticket_text(view: &TicketView) -> String {
+    let names = |names: &[ObjectName]| -> String {
+        let names: Vec<&str> = names.iter().map(ObjectName::as_str).collect();
+        names.join(" ")
+    };
+    format!(
+        "ticket {} by {}: teams {}\n  since {} ms, at log offset {}\n  in force on {} hosts: {}\n  \
+         not known to be on {}: {}",
+        view.number,
+        view.author,
+        names(&view.teams),
+        view.accepted_ms,
+        view.offset,
+        view.in_force.len(),
+        names(&view.in_force),
+        view.missing.len(),
+        names(&view.missing)
+    )
+}
+
+fn audit_text(rows: &AuditRows) -> String {
+    let mut text = String::new();
+    for row in &rows.0 {
+        let verdict = match &row.refused {
+            Some(reason) => format!("refused: {reason}"),
+            None => "accepted".to_owned(),
+        };
+        let _ = writeln!(
+            text,
+            "{:>8} {:>13} {:<16} {:<10} {:<28} {verdict}",
+            row.offset, row.at_ms, row.actor, row.kind, row.subject
+        );
+    }
+    text
+}
+
+fn hosts_text(view: &HostsView) -> String {
+    let mut text = String::from("ENTRY HOST       LIVE  FOLDED   TICKET\n");
+    for host in &view.entry {
+        let live = if host.live { "yes" } else { "no" };
+        let _ = writeln!(
+            text,
+            "{:<16} {live:<4} {:>7} {:>8}",
+            host.host, host.folded, host.ticket
+        );
+    }
+    text.push_str("WORKER           DOMAIN     RACK       STATE        HELD\n");
+    for worker in &view.workers {
+        let _ = writeln!(
+            text,
+            "{:<16} {:<10} {:<10} {:<11} {:>2}/{:<2}",
+            worker.worker,
+            worker.domain,
+            worker.rack,
+            worker.state,
+            worker.held,
+            worker.accelerators
+        );
+    }
+    text
+}
--- /dev/null
+++ b/src/command/programs.rs
@@ -0,0 +1,62 @@
+//! The two daemons as programs.
+
+use eyre::Report;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::command::daemon::DaemonProgram;
+use crate::daemons::gateway::GatewayDaemon;
+use crate::daemons::scheduler::SchedulerDaemon;
+use crate::settings::gateway::{GatewaySettings, RawGatewaySettings};
+use crate::settings::scheduler::{RawSchedulerSettings, SchedulerSettings};
+
+/// `hemlockramp-gateway`.
+pub struct GatewayProgram;
+
+impl DaemonProgram for GatewayProgram {
+    type Raw = RawGatewaySettings;
+    type Checked = GatewaySettings;
+    type Daemon = GatewayDaemon;
+
+    const NAME: &'static str = "hemlockramp-gateway";
+
+    fn raw(settings: &GatewaySettings) -> RawGatewaySettings {
+        settings.raw.clone()
+    }
+
+    async fn start(
+        settings: GatewaySettings,
+        metrics: PrometheusHandle,
+    ) -> Result<GatewayDaemon, Report> {
+        GatewayDaemon::start(settings, metrics)
+    }
+
+    async fn close(daemon: GatewayDaemon) {
+        daemon.close().await;
+    }
+}
+
+/// `hemlockramp-scheduler`.
+pub struct SchedulerProgram;
+
+impl DaemonProgram for SchedulerProgram {
+    type Raw = RawSchedulerSettings;
+    type Checked = SchedulerSettings;
+    type Daemon = SchedulerDaemon;
+
+    const NAME: &'static str = "hemlockramp-scheduler";
+
+    fn raw(settings: &SchedulerSettings) -> RawSchedulerSettings {
+        settings.raw.clone()
+    }
+
+    async fn start(
+        settings: SchedulerSettings,
+        metrics: PrometheusHandle,
+    ) -> Result<SchedulerDaemon, Report> {
+        SchedulerDaemon::start(settings, metrics)
+    }
+
+    async fn close(daemon: SchedulerDaemon) {
+        daemon.close().await;
+    }
+}
--- /dev/null
+++ b/src/daemons/context.rs
@@ -0,0 +1,97 @@
+//! What all parts of the scheduler share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use crate::daemons::host_book::HostBook;
+use crate::daemons::peer_book::PeerBook;
+use crate::journal::client::HttpLog;
+use crate::journal::tail::{JournalStreams, JournalView, TailStatus};
+use crate::journal::writer::JournalWriter;
+use crate::settings::scheduler::SchedulerSettings;
+use crate::systems::owner::owner_of;
+use crate::tables::name::ObjectName;
+use crate::wire::http::HttpClient;
+use crate::wire::peer::HeartbeatMessage;
+
+/// Shared by the scheduler's tasks.
+pub struct SchedulerContext {
+    /// Settings.
+    pub settings: SchedulerSettings,
+    /// HTTP client.
+    pub client: HttpClient,
+    /// The log.
+    pub log: HttpLog,
+    /// Streams.
+    pub streams: JournalStreams,
+    /// Folded state.
+    pub view: JournalView,
+    /// Appends records.
+    pub writer: JournalWriter,
+    /// Host list.
+    pub hosts: HostBook,
+    /// Other entry hosts.
+    pub peers: PeerBook,
+    /// Whether this host is shutting down.
+    pub draining: AtomicBool,
+}
+
+/// The context as it is passed around.
+pub type SharedContext = Arc<SchedulerContext>;
+
+impl SchedulerContext {
+    /// Returns this host's name.
+    pub fn host(&self) -> &ObjectName {
+        &self.settings.raw.host
+    }
+
+    /// Returns whether this host is shutting down.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the state is folded up to the log's end, as far as is known.
+    pub fn is_current(&self) -> bool {
+        self.view.status() == TailStatus::Current
+    }
+
+    /// Returns whether calls can be served.
+    pub fn is_ready(&self) -> bool {
+        self.is_current() && self.hosts.roster().is_some() && !self.is_draining()
+    }
+
+    /// Returns this host's account of itself.
+    pub fn heartbeat(&self) -> HeartbeatMessage {
+        let state = self.view.state();
+        HeartbeatMessage {
+            host: self.host().clone(),
+            folded: state.next_offset,
+            ticket: state.tickets.highest,
+            draining: self.is_draining(),
+        }
+    }
+
+    /// Returns the names of the entry hosts believed live, sorted; always with this one
+    /// unless it is shutting down.
+    pub fn live_hosts(&self) -> Vec<ObjectName> {
+        let dead = self.settings.timing.peer_dead;
+        let listed = self
+            .hosts
+            .roster()
+            .map_or(Vec::new(), |roster| roster.entry);
+        let peers = listed.into_iter().map(|entry| entry.name);
+        let mut live: Vec<ObjectName> = peers
+            .filter(|name| name != self.host() && self.peers.is_live(name, dead))
+            .collect();
+        if !self.is_draining() {
+            live.push(self.host().clone());
+        }
+        live.sort();
+        live
+    }
+
+    /// Returns whether this host should try for a subject.
+    pub fn owns(&self, subject: &str, live: &[ObjectName]) -> bool {
+        owner_of(subject, live) == Some(self.host())
+    }
+}
--- /dev/null
+++ b/src/daemons/http_reply.rs
@@ -0,0 +1,112 @@
+//! JSON replies and bodies of our own HTTP interfaces.
+
+use dropshot::{Body, HttpError, StreamingBody};
+use futures_util::{StreamExt, pin_mut};
+use http::{Response, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::routing::verdict::CallFailure;
+use crate::wire::api::ErrorView;
+
+/// What every endpoint returns.
+pub type HttpReply = Result<Response<Body>, HttpError>;
+
+/// Returns a logger that hands the server's messages to `log`.
+pub fn server_logger() -> slog::Logger {
+    // A message that cannot be logged is dropped.
+    let drain = slog::Drain::fuse(slog_stdlog::StdLog);
+    slog::Logger::root(drain, slog::o!())
+}
+
+/// Returns a JSON reply.
+pub fn json_reply<T: Serialize>(status: u16, value: &T) -> HttpReply {
+    let bytes = serde_json::to_vec(value)
+        .map_err(|error| HttpError::for_internal_error(error.to_string()))?;
+    Ok(Response::builder()
+        .status(StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR))
+        .header("content-type", "application/json")
+        .body(Body::from(bytes))?)
+}
+
+/// Returns a plain text reply.
+pub fn text_reply(status: u16, text: String) -> HttpReply {
+    Ok(Response::builder()
+        .status(status)
+        .header("content-type", "text/plain; charset=utf-8")
+        .body(Body::from(text))?)
+}
+
+/// Returns a failure with its verdict and retry time.
+pub fn failure_reply(failure: &CallFailure) -> HttpReply {
+    let view = ErrorView {
+        verdict: failure.verdict,
+        reason: failure.reason.clone(),
+        retry_ms: failure.retry_ms,
+    };
+    let mut reply = json_reply(failure.status, &view)?;
+    let verdict = failure.verdict.to_string();
+    let headers = reply.headers_mut();
+    if let Ok(value) = verdict.parse() {
+        headers.insert("hemlockramp-verdict", value);
+    }
+    if let Some(retry_ms) = failure.retry_ms {
+        let seconds = retry_ms.div_ceil(1_000);
+        headers.insert("retry-after", seconds.into());
+    }
+    Ok(reply)
+}
+
+/// Returns a reply for the result of a call.
+pub fn result_reply<T: Serialize>(status: u16, result: Result<T, CallFailure>) -> HttpReply {
+    match result {
+        Ok(value) => json_reply(status, &value),
+        Err(failure) => failure_reply(&failure),
+    }
+}
+
+/// Reads a body up to a limit.
+///
+/// # Errors
+///
+/// "Not run", with 413 when the body is too large and 400 when it breaks off.
+pub async fn read_body(body: StreamingBody, limit: usize) -> Result<Vec<u8>, CallFailure> {
+    let stream = body.into_stream();
+    pin_mut!(stream);
+    let mut bytes = Vec::new();
+    while let Some(chunk) = stream.next().await {
+        let chunk = chunk.map_err(|error| match error.external_message.contains("exceeded") {
+            true => too_large(limit),
+            false => CallFailure::not_run(400, error.external_message),
+        })?;
+        if bytes.len() + chunk.len() > limit {
+            return Err(too_large(limit));
+        }
+        bytes.extend_from_slice(&chunk);
+    }
+    Ok(bytes)
+}
+
+fn too_large(limit: usize) -> CallFailure {
+    CallFailure::not_run(413, format!("the body is above {limit} bytes"))
+}
+
+/// Reads a JSON body up to a limit.
+///
+/// # Errors
+///
+/// "Not run"; names the key that is wrong.
+pub async fn read_json<T: DeserializeOwned>(
+    body: StreamingBody,
+    limit: usize,
+) -> Result<T, CallFailure> {
+    let bytes = read_body(body, limit).await?;
+    let mut reader = serde_json::Deserializer::from_slice(&bytes);
+    let value = serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+        CallFailure::not_run(400, format!("key {}: {}", error.path(), error.inner()))
+    })?;
+    reader
+        .end()
+        .map_err(|error| CallFailure::not_run(400, error.to_string()))?;
+    Ok(value)
+}
--- /dev/null
+++ b/src/daemons/keeper.rs
@@ -0,0 +1,361 @@
+//! Keeps workers: sends them their orders, renews their leases, records their answers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::daemons::context::SharedContext;
+use crate::journal::record::{RecordBody, WorkerRecord};
+use crate::journal::writer::AppendOutcome;
+use crate::routing::verdict::CallFailure;
+use crate::settings::scheduler::TimingSettings;
+use crate::systems::keep::{OrderRow, OrderTable, lost_reports, released_reports, reports_of};
+use crate::systems::topology::compare_hosts;
+use crate::tables::job::TaskState;
+use crate::tables::name::ObjectName;
+use crate::tables::rack::WorkerSlot;
+use crate::tables::worker::WorkerState;
+use crate::wire::worker::{SyncAnswer, SyncRequest};
+
+/// Answers waiting to be taken up.
+const ANSWERS_MAX: usize = 4_096;
+
+/// A worker that this host keeps.
+struct KeeperRow {
+    slot: WorkerSlot,
+    name: ObjectName,
+    /// When it last answered, or when this host began to keep it.
+    heard: Instant,
+    /// When it was last sent anything.
+    sent: Option<Instant>,
+    /// Whether an answer is awaited.
+    busy: bool,
+    /// Whether the last message had no answer.
+    failed: bool,
+    /// Digest of the orders it confirmed.
+    confirmed: Option<u64>,
+    /// When its lost tasks were first seen here.
+    lost: Option<LostMark>,
+    /// Reports that the log has not settled.
+    pending: Option<oneshot::Receiver<AppendOutcome>>,
+}
+
+/// When tasks were seen lost, and by whom.
+#[derive(Clone, Copy)]
+struct LostMark {
+    at: Instant,
+    /// Hosts that have folded up to here renew the tasks no more.
+    offset: u64,
+    /// When all listed hosts had folded that far.
+    known_to_all: Option<Instant>,
+}
+
+struct KeeperAnswer {
+    slot: WorkerSlot,
+    digest: u64,
+    answer: Result<SyncAnswer, CallFailure>,
+}
+
+/// The keeper's own tables.
+struct Keeper {
+    context: SharedContext,
+    rows: Vec<KeeperRow>,
+    orders: Arc<OrderTable>,
+    answers: mpsc::Sender<KeeperAnswer>,
+    topology: Option<oneshot::Receiver<AppendOutcome>>,
+}
+
+/// Keeps workers for ever.
+pub async fn run_keeper(context: SharedContext) {
+    let (sender, mut answers) = mpsc::channel(ANSWERS_MAX);
+    let mut ticks = interval(context.settings.timing.tick);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut version = context.view.watch_version();
+    version.mark_changed();
+    let mut keeper = Keeper {
+        context,
+        rows: Vec::new(),
+        orders: Arc::new(OrderTable::default()),
+        answers: sender,
+        topology: None,
+    };
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            Some(answer) = answers.recv() => keeper.take_answer(answer),
+            Ok(()) = version.changed() => keeper.refresh_orders(),
+        }
+        keeper.tick();
+    }
+}
+
+impl Keeper {
+    fn refresh_orders(&mut self) {
+        let grace_ms = self.context.settings.raw.policy.checkpoint_grace_ms;
+        let state = self.context.view.state();
+        self.orders = Arc::new(OrderTable::derive(&state, grace_ms));
+    }
+
+    fn tick(&mut self) {
+        if !self.context.is_current() || self.context.hosts.roster().is_none() {
+            return;
+        }
+        let silence = self.context.view.silence().unwrap_or(Duration::MAX);
+        if silence > self.context.settings.timing.renew_without_log {
+            return;
+        }
+        let live = self.context.live_hosts();
+        self.refresh_rows(&live);
+        self.report_topology(&live);
+        for index in 0..self.rows.len() {
+            self.keep(index);
+        }
+    }
+
+    /// Takes up the workers that the hint gives to this host and drops the others.
+    fn refresh_rows(&mut self, live: &[ObjectName]) {
+        let state = self.context.view.state();
+        let mut kept = Vec::with_capacity(self.rows.len());
+        let mut old: Vec<KeeperRow> = std::mem::take(&mut self.rows);
+        for (slot, worker) in state.racks.workers() {
+            let idle = worker.state == WorkerState::Gone && self.orders.for_worker(slot).is_empty();
+            if idle || !self.context.owns(worker.name.as_str(), live) {
+                continue;
+            }
+            let same = |row: &KeeperRow| row.slot == slot && row.name == worker.name;
+            match old.iter().position(same) {
+                Some(index) => kept.push(old.swap_remove(index)),
+                None => kept.push(KeeperRow::new(slot, worker.name.clone())),
+            }
+        }
+        drop(state);
+        self.rows = kept;
+    }
+
+    /// Records changes of the workers that this host keeps or should keep.
+    fn report_topology(&mut self, live: &[ObjectName]) {
+        if is_open(&mut self.topology) {
+            return;
+        }
+        let Some(roster) = self.context.hosts.roster() else {
+            return;
+        };
+        let context = &self.context;
+        let own = |worker: &&WorkerRecord| context.owns(worker.name.as_str(), live);
+        let listed: Vec<WorkerRecord> = roster.workers.iter().filter(own).cloned().collect();
+        let lost_after = context.settings.timing.lost_after;
+        let silent = self
+            .rows
+            .iter()
+            .filter(|row| row.heard.elapsed() > lost_after);
+        let down: Vec<WorkerSlot> = silent.map(|row| row.slot).collect();
+        let records = {
+            let state = context.view.state();
+            compare_hosts(&state, &listed, &down)
+        };
+        for record in records {
+            let RecordBody::Worker(worker) = &record else {
+                continue;
+            };
+            if context.owns(worker.name.as_str(), live) {
+                self.topology = self.context.writer.enqueue(record).ok();
+            }
+        }
+    }
+
+    fn keep(&mut self, index: usize) {
+        let timing = &self.context.settings.timing;
+        let row = &mut self.rows[index];
+        if is_open(&mut row.pending) {
+            return;
+        }
+        let orders = self.orders.for_worker(row.slot);
+        if row.heard.elapsed() > timing.lost_after {
+            let reports = lost_reports(orders);
+            self.append_reports(index, reports);
+        }
+        self.release_lost(index);
+        self.send_if_due(index);
+    }
+
+    /// Releases lost tasks once no host can be renewing their leases any more.
+    fn release_lost(&mut self, index: usize) {
+        let row = &self.rows[index];
+        let orders = self.orders.for_worker(row.slot);
+        if !orders.iter().any(|order| order.known == TaskState::Lost) {
+            self.rows[index].lost = None;
+            return;
+        }
+        let offset = self.context.view.state().next_offset;
+        let mut mark = row.lost.unwrap_or(LostMark {
+            at: Instant::now(),
+            offset,
+            known_to_all: None,
+        });
+        if mark.known_to_all.is_none() && self.all_folded(mark.offset) {
+            mark.known_to_all = Some(Instant::now());
+        }
+        let timing = &self.context.settings.timing;
+        let lease = timing.lease + timing.lease_margin;
+        let told = mark.known_to_all.is_some_and(|at| at.elapsed() > lease);
+        // A host that cannot be asked stops by itself after this long without the log.
+        let expired = mark.at.elapsed() > timing.renew_without_log + lease;
+        let reports = match told || expired {
+            true => released_reports(orders),
+            false => Vec::new(),
+        };
+        self.rows[index].lost = Some(mark);
+        self.append_reports(index, reports);
+    }
+
+    /// Returns whether every other listed entry host has folded all before an offset.
+    fn all_folded(&self, offset: u64) -> bool {
+        let Some(roster) = self.context.hosts.roster() else {
+            return false;
+        };
+        let others = roster
+            .entry
+            .iter()
+            .filter(|entry| entry.name != *self.context.host());
+        others
+            .map(|entry| self.context.peers.find(&entry.name))
+            .all(|peer| peer.is_some_and(|row| row.heartbeat.folded >= offset))
+    }
+
+    fn append_reports(&mut self, index: usize, reports: Vec<crate::journal::record::TaskReport>) {
+        if !reports.is_empty() {
+            let record = RecordBody::Tasks(reports);
+            self.rows[index].pending = self.context.writer.enqueue(record).ok();
+        }
+    }
+
+    fn send_if_due(&mut self, index: usize) {
+        let timing = &self.context.settings.timing;
+        let row = &self.rows[index];
+        let orders = self.orders.for_worker(row.slot);
+        let digest = digest_of(orders);
+        let changed = row.confirmed != Some(digest);
+        if row.busy || !is_due(row, timing, changed && !orders.is_empty()) {
+            return;
+        }
+        let sent: Vec<_> = orders.iter().map(|order| order.order.clone()).collect();
+        let request = SyncRequest {
+            lease_ms: timing.lease.as_millis() as u64,
+            digest,
+            orders: changed.then_some(sent),
+        };
+        self.send(index, request);
+    }
+
+    fn send(&mut self, index: usize, request: SyncRequest) {
+        let slot = self.rows[index].slot;
+        let address = self
+            .context
+            .view
+            .state()
+            .racks
+            .worker(slot)
+            .map(|worker| worker.address);
+        let Some(address) = address else { return };
+        let row = &mut self.rows[index];
+        row.busy = true;
+        row.sent = Some(Instant::now());
+        let client = self.context.client.clone();
+        let limit = self.context.settings.timing.worker_timeout;
+        let answers = self.answers.clone();
+        tokio::spawn(async move {
+            let url = format!("http://{address}/sync");
+            let digest = request.digest;
+            let answer = client.post(&url, &request, limit).await;
+            let _ = answers
+                .send(KeeperAnswer {
+                    slot,
+                    digest,
+                    answer,
+                })
+                .await;
+        });
+    }
+
+    fn take_answer(&mut self, taken: KeeperAnswer) {
+        let Some(index) = self.rows.iter().position(|row| row.slot == taken.slot) else {
+            return;
+        };
+        let row = &mut self.rows[index];
+        row.busy = false;
+        let answer = match taken.answer {
+            Ok(answer) => answer,
+            Err(failure) => {
+                log::debug!("keeper: worker {} gave no answer: {failure}.", row.name);
+                row.confirmed = None;
+                row.failed = true;
+                return;
+            }
+        };
+        row.failed = false;
+        row.heard = Instant::now();
+        row.confirmed = answer.renewed.then_some(taken.digest);
+        if is_open(&mut row.pending) {
+            // The next answer tells the same again.
+            row.confirmed = None;
+            return;
+        }
+        let reports = reports_of(self.orders.for_worker(taken.slot), &answer.tasks);
+        self.append_reports(index, reports);
+    }
+}
+
+impl KeeperRow {
+    fn new(slot: WorkerSlot, name: ObjectName) -> Self {
+        Self {
+            slot,
+            name,
+            heard: Instant::now(),
+            sent: None,
+            busy: false,
+            failed: false,
+            confirmed: None,
+            lost: None,
+            pending: None,
+        }
+    }
+}
+
+/// Returns whether a worker should be sent something now.
+fn is_due(row: &KeeperRow, timing: &TimingSettings, changed: bool) -> bool {
+    let idle = row.sent.map_or(Duration::MAX, |at| at.elapsed());
+    let pause = match (changed, row.failed) {
+        (true, false) => Duration::ZERO,
+        // A worker that does not answer is asked again at the pace of its time-out.
+        (true, true) => timing.worker_timeout.min(timing.renew),
+        (false, _) => timing.renew,
+    };
+    idle >= pause
+}
+
+/// Returns whether an append is not yet settled; forgets one that is.
+fn is_open(pending: &mut Option<oneshot::Receiver<AppendOutcome>>) -> bool {
+    let Some(receiver) = pending else {
+        return false;
+    };
+    match receiver.try_recv() {
+        Err(oneshot::error::TryRecvError::Empty) => true,
+        _ => {
+            *pending = None;
+            false
+        }
+    }
+}
+
+fn digest_of(orders: &[OrderRow]) -> u64 {
+    let mut text = String::new();
+    for row in orders {
+        // The digest covers what the worker is told, not what the journal knows.
+        text.push_str(&serde_json::to_string(&row.order).unwrap_or_default());
+    }
+    xxh3_64(text.as_bytes())
+}
--- /dev/null
+++ b/src/daemons/membership.rs
@@ -0,0 +1,77 @@
+//! Reads the host list and exchanges heartbeats with the other entry hosts.
+
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::daemons::context::SharedContext;
+use crate::daemons::host_book::HostRoster;
+use crate::daemons::peer_link::PeerLink;
+use crate::tables::name::ObjectName;
+use crate::wire::log::HostListing;
+use crate::wire::peer::{PeerCall, PeerReply};
+
+/// Reads the host list for ever.
+pub async fn read_host_list(context: SharedContext) {
+    let url = format!("http://{}/hosts", context.settings.raw.host_list_address);
+    let mut ticks = interval(context.settings.timing.host_list);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let limit = context.settings.timing.worker_timeout;
+        match context.client.get::<HostListing>(&url, limit).await {
+            Ok(listing) => context.hosts.put(HostRoster::from(listing)),
+            Err(failure) => log::debug!("hosts: the list cannot be read: {failure}."),
+        }
+    }
+}
+
+struct LinkRow {
+    host: ObjectName,
+    link: PeerLink,
+}
+
+/// Sends heartbeats to all listed entry hosts for ever.
+pub async fn beat(context: SharedContext) {
+    let mut links: Vec<LinkRow> = Vec::new();
+    let mut ticks = interval(context.settings.timing.heartbeat);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        refresh_links(&context, &mut links);
+        for row in &links {
+            tokio::spawn(beat_one(context.clone(), row.link.clone()));
+        }
+    }
+}
+
+fn refresh_links(context: &SharedContext, links: &mut Vec<LinkRow>) {
+    let Some(roster) = context.hosts.roster() else {
+        return;
+    };
+    let others = roster
+        .entry
+        .iter()
+        .filter(|entry| entry.name != *context.host());
+    let listed: Vec<_> = others.collect();
+    links.retain(|row| {
+        let same = |entry: &&crate::daemons::host_book::EntryHost| {
+            entry.name == row.host && entry.address == row.link.address()
+        };
+        listed.iter().copied().any(|entry| same(&entry))
+    });
+    for entry in listed {
+        if !links.iter().any(|row| row.host == entry.name) {
+            links.push(LinkRow {
+                host: entry.name.clone(),
+                link: PeerLink::start(entry.address),
+            });
+        }
+    }
+}
+
+async fn beat_one(context: SharedContext, link: PeerLink) {
+    let call = PeerCall::Heartbeat(context.heartbeat());
+    let limit = context.settings.timing.peer_dead;
+    if let Ok(PeerReply::Heartbeat(heartbeat)) = link.call(call, limit).await {
+        context.peers.note(heartbeat);
+    }
+}
--- /dev/null
+++ b/src/daemons/mod.rs
@@ -0,0 +1,18 @@
+//! Wiring of the daemons: tasks, servers, shutdown.
+
+pub mod calls;
+pub mod context;
+pub mod gateway;
+pub mod gateway_http;
+pub mod host_book;
+pub mod http_reply;
+pub mod keeper;
+pub mod membership;
+pub mod observe;
+pub mod peer_book;
+pub mod peer_link;
+pub mod planner;
+pub mod requests;
+pub mod scheduler;
+pub mod scheduler_http;
+pub mod snapshotter;
--- /dev/null
+++ b/src/daemons/observe.rs
@@ -0,0 +1,74 @@
+//! Logs, metrics and signals.
+
+use std::io::Write;
+
+use env_logger::{Builder, Env};
+use eyre::{Report, eyre};
+use log::kv::{Key, Value, VisitSource};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Variable that sets the log filter, as in `HEMLOCKRAMP_LOG=info`.
+const LOG_FILTER_VARIABLE: &str = "HEMLOCKRAMP_LOG";
+
+/// Sets up logging to stderr, as text or as JSON lines.
+pub fn start_logs(json: bool) {
+    let environment = Env::new().filter_or(LOG_FILTER_VARIABLE, "info");
+    let mut builder = Builder::from_env(environment);
+    builder.filter_module("dropshot", log::LevelFilter::Off);
+    if json {
+        builder.format(|output, record| {
+            let mut fields = JsonFields::default();
+            let _ = record.key_values().visit(&mut fields);
+            let line = serde_json::json!({
+                "time": output.timestamp_millis().to_string(),
+                "level": record.level().as_str(),
+                "part": record.target(),
+                "message": record.args().to_string(),
+                "fields": fields.map,
+            });
+            writeln!(output, "{line}")
+        });
+    } else {
+        builder.format_timestamp_millis();
+    }
+    builder.init();
+}
+
+#[derive(Default)]
+struct JsonFields {
+    map: serde_json::Map<String, serde_json::Value>,
+}
+
+impl<'kvs> VisitSource<'kvs> for JsonFields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        self.map.insert(key.to_string(), value.to_string().into());
+        Ok(())
+    }
+}
+
+/// Sets up metrics; the handle renders them as Prometheus text.
+///
+/// # Errors
+///
+/// Fails when this process has a recorder already.
+pub fn start_metrics() -> Result<PrometheusHandle, Report> {
+    PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(|error| eyre!("metrics: {error}"))
+}
+
+/// Waits for the first SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// Fails when the signals cannot be watched.
+pub async fn wait_for_signal() -> Result<(), Report> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/daemons/requests.rs
@@ -0,0 +1,322 @@
+//! Serves a caller's request: admission, intent, routing, outcome.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, SystemTime};
+
+use bytes::Bytes;
+use dropshot::{Body, StreamingBody};
+use http::{HeaderMap, Response};
+use tokio::time::Instant;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::daemons::gateway::{SharedGateway, learn_team};
+use crate::daemons::http_reply::{HttpReply, failure_reply, read_body};
+use crate::journal::record::{IntentRecord, OutcomeRecord};
+use crate::routing::admit::AdmitRequest;
+use crate::routing::connection::{RunnerAnswer, RunnerRequest, VERDICT_HEADER};
+use crate::routing::router::SendRule;
+use crate::routing::verdict::{CallFailure, RunVerdict};
+use crate::settings::gateway::GatewaySettings;
+use crate::tables::key::{KeyAnswer, KeyOutcome};
+use crate::tables::name::ObjectName;
+use crate::wire::peer::{IntentReply, PeerCall, PeerReply};
+
+/// Header with the caller's key of a request that must run at most once.
+const KEY_HEADER: &str = "idempotency-key";
+/// Header with the time the key was first issued, Unix ms; default now.
+const ISSUED_HEADER: &str = "idempotency-issued-ms";
+/// Header by which the caller says that the request may run more than once.
+const IDEMPOTENT_HEADER: &str = "hemlockramp-idempotent";
+/// Header with the time the caller waits, in ms.
+const DEADLINE_HEADER: &str = "hemlockramp-deadline-ms";
+/// Header that puts a request before the team's others.
+const URGENT_HEADER: &str = "hemlockramp-urgent";
+/// Longest time a caller may wait, in ms.
+const DEADLINE_MAX_MS: u64 = 600_000;
+/// Largest body kept with a key, in bytes.
+const KEPT_BODY_MAX_BYTES: usize = 4_096;
+/// Time between two looks at a key whose first request is under way, in ms.
+const KEY_POLL_MS: u64 = 50;
+/// Tries to record an outcome before it is left as "may have run".
+const OUTCOME_TRIES: u32 = 5;
+/// Pause between these tries, in ms.
+const OUTCOME_PAUSE_MS: u64 = 500;
+
+/// How often a request may run.
+#[derive(Clone, Debug)]
+enum RunRule {
+    /// It may be sent again.
+    Idempotent,
+    /// At most once, under this key.
+    AtMostOnce(RequestKey),
+}
+
+/// A caller's key.
+#[derive(Clone, Debug)]
+struct RequestKey {
+    key: ObjectName,
+    issued_ms: u64,
+}
+
+/// What is known of a request before its body is read.
+#[derive(Clone, Debug)]
+pub struct RequestHead {
+    team: ObjectName,
+    path: String,
+    content_type: Option<String>,
+    rule: RunRule,
+    urgent: bool,
+    deadline: Instant,
+}
+
+impl RequestHead {
+    /// Reads the path and the headers.
+    ///
+    /// # Errors
+    ///
+    /// "Not run" with status 400; names the header that is wrong.
+    pub fn read(
+        team: &str,
+        path: String,
+        headers: &HeaderMap,
+        settings: &GatewaySettings,
+    ) -> Result<Self, CallFailure> {
+        let bad = |reason: String| CallFailure::not_run(400, reason);
+        let team = ObjectName::try_from(team).map_err(|error| bad(error.to_string()))?;
+        let default_ms = settings.requests.deadline.as_millis() as u64;
+        let deadline_ms = number_header(headers, DEADLINE_HEADER)?.unwrap_or(default_ms);
+        if !(1..=DEADLINE_MAX_MS).contains(&deadline_ms) {
+            return Err(bad(format!(
+                "{DEADLINE_HEADER}: {deadline_ms}; allowed are 1 to {DEADLINE_MAX_MS}"
+            )));
+        }
+        Ok(Self {
+            team,
+            path,
+            content_type: text_header(headers, "content-type"),
+            rule: run_rule(headers)?,
+            urgent: text_header(headers, URGENT_HEADER).as_deref() == Some("true"),
+            deadline: Instant::now() + Duration::from_millis(deadline_ms),
+        })
+    }
+}
+
+fn text_header(headers: &HeaderMap, name: &str) -> Option<String> {
+    Some(headers.get(name)?.to_str().ok()?.to_owned())
+}
+
+fn number_header(headers: &HeaderMap, name: &str) -> Result<Option<u64>, CallFailure> {
+    let Some(text) = text_header(headers, name) else {
+        return Ok(None);
+    };
+    let number = text.parse();
+    let bad = |_| CallFailure::not_run(400, format!("{name}: {text:?} is not a number"));
+    number.map(Some).map_err(bad)
+}
+
+fn run_rule(headers: &HeaderMap) -> Result<RunRule, CallFailure> {
+    if text_header(headers, IDEMPOTENT_HEADER).as_deref() == Some("true") {
+        return Ok(RunRule::Idempotent);
+    }
+    let Some(key) = text_header(headers, KEY_HEADER) else {
+        let reason = format!("either {KEY_HEADER} or {IDEMPOTENT_HEADER}: true is needed");
+        return Err(CallFailure::not_run(400, reason));
+    };
+    let key = ObjectName::try_from(key)
+        .map_err(|error| CallFailure::not_run(400, format!("{KEY_HEADER}: {error}")))?;
+    let issued_ms = number_header(headers, ISSUED_HEADER)?.unwrap_or_else(now_ms);
+    Ok(RunRule::AtMostOnce(RequestKey { key, issued_ms }))
+}
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+/// Serves one request.
+pub async fn serve_request(
+    gateway: &SharedGateway,
+    head: RequestHead,
+    body: StreamingBody,
+) -> HttpReply {
+    let started = Instant::now();
+    let result = match read_body(body, gateway.settings.requests.body_max_bytes).await {
+        Ok(bytes) => send_request(gateway, &head, Bytes::from(bytes)).await,
+        Err(failure) => Err(failure),
+    };
+    let verdict = match &result {
+        Ok(_) => RunVerdict::Ran,
+        Err(failure) => failure.verdict,
+    };
+    let labels = [("verdict", verdict.to_string())];
+    metrics::counter!("hemlockramp_requests_total", &labels).increment(1);
+    metrics::histogram!("hemlockramp_request_seconds").record(started.elapsed().as_secs_f64());
+    match result {
+        Ok(answer) => answer_reply(answer),
+        Err(failure) => failure_reply(&failure),
+    }
+}
+
+fn answer_reply(answer: RunnerAnswer) -> HttpReply {
+    let mut builder = Response::builder()
+        .status(answer.status)
+        .header(VERDICT_HEADER, RunVerdict::Ran.to_string());
+    if let Some(kind) = &answer.content_type {
+        builder = builder.header("content-type", kind);
+    }
+    Ok(builder.body(Body::from(answer.body))?)
+}
+
+async fn send_request(
+    gateway: &SharedGateway,
+    head: &RequestHead,
+    body: Bytes,
+) -> Result<RunnerAnswer, CallFailure> {
+    let wanted = AdmitRequest {
+        team: head.team.clone(),
+        urgent: head.urgent,
+        deadline: head.deadline,
+    };
+    learn_team(gateway, &head.team).await;
+    let _permit = gateway.admit.admit(&wanted).await?;
+    let count = gateway.sent.fetch_add(1, Ordering::Relaxed);
+    let request = RunnerRequest {
+        id: format!("{:x}-{count}", gateway.boot),
+        path: head.path.clone(),
+        content_type: head.content_type.clone(),
+        body,
+    };
+    match &head.rule {
+        RunRule::Idempotent => {
+            let rule = SendRule {
+                idempotent: true,
+                deadline: head.deadline,
+            };
+            gateway.router.send(&request, rule).await
+        }
+        RunRule::AtMostOnce(key) => send_once(gateway, head, key, &request).await,
+    }
+}
+
+/// Sends a keyed request after its intent stands in the log.
+async fn send_once(
+    gateway: &SharedGateway,
+    head: &RequestHead,
+    key: &RequestKey,
+    request: &RunnerRequest,
+) -> Result<RunnerAnswer, CallFailure> {
+    let intent = IntentRecord {
+        team: head.team.clone(),
+        key: key.key.clone(),
+        digest: digest_of(request),
+        issued_ms: key.issued_ms,
+    };
+    let offset = loop {
+        match ask_intent(gateway, &intent).await? {
+            IntentReply::Granted(offset) => break offset,
+            IntentReply::Known(KeyOutcome::Pending) if Instant::now() < head.deadline => {
+                // The first request with this key is under way, maybe on another host.
+                tokio::time::sleep(Duration::from_millis(KEY_POLL_MS)).await;
+            }
+            IntentReply::Known(outcome) => return known_answer(outcome),
+        }
+    };
+    let rule = SendRule {
+        idempotent: false,
+        deadline: head.deadline,
+    };
+    let result = gateway.router.send(request, rule).await;
+    let record = OutcomeRecord {
+        team: intent.team,
+        key: intent.key,
+        intent: offset,
+        outcome: outcome_of(&result),
+    };
+    tokio::spawn(record_outcome(Arc::clone(gateway), record));
+    result
+}
+
+async fn ask_intent(
+    gateway: &SharedGateway,
+    intent: &IntentRecord,
+) -> Result<IntentReply, CallFailure> {
+    match gateway.call(PeerCall::Intent(intent.clone())).await {
+        Ok(PeerReply::Intent(reply)) => Ok(reply),
+        Ok(_) => Err(CallFailure::not_run(
+            502,
+            "the scheduler gave another kind of reply",
+        )),
+        // Whatever became of the intent, only this call would have sent the request.
+        Err(failure) if failure.status != 409 => Err(CallFailure {
+            verdict: RunVerdict::NotRun,
+            ..failure
+        }),
+        Err(failure) => Err(failure),
+    }
+}
+
+fn digest_of(request: &RunnerRequest) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(request.path.as_bytes());
+    hash.update(&[0]);
+    hash.update(&request.body);
+    hash.digest()
+}
+
+fn known_answer(outcome: KeyOutcome) -> Result<RunnerAnswer, CallFailure> {
+    match outcome {
+        KeyOutcome::Answered(KeyAnswer {
+            status,
+            body: Some(body),
+        }) => Ok(RunnerAnswer {
+            status,
+            content_type: None,
+            body: Bytes::from(body),
+            not_run: false,
+            leaving: false,
+        }),
+        KeyOutcome::Answered(KeyAnswer { status, body: None }) => Err(CallFailure {
+            verdict: RunVerdict::Ran,
+            status: 409,
+            reason: format!("it ran before with status {status}; its answer was too large to keep"),
+            retry_ms: None,
+        }),
+        KeyOutcome::NotRun => Err(CallFailure::not_run(409, "the first request did not run")),
+        KeyOutcome::Pending | KeyOutcome::MayHaveRun => Err(CallFailure::may_have_run(
+            409,
+            "the first request with this key may have run",
+        )),
+    }
+}
+
+fn outcome_of(result: &Result<RunnerAnswer, CallFailure>) -> KeyOutcome {
+    match result {
+        Ok(answer) => {
+            let text = std::str::from_utf8(&answer.body).ok();
+            let kept = text.filter(|text| text.len() <= KEPT_BODY_MAX_BYTES);
+            KeyOutcome::Answered(KeyAnswer {
+                status: answer.status,
+                body: kept.map(str::to_owned),
+            })
+        }
+        Err(failure) if failure.verdict == RunVerdict::NotRun => KeyOutcome::NotRun,
+        Err(_) => KeyOutcome::MayHaveRun,
+    }
+}
+
+async fn record_outcome(gateway: SharedGateway, record: OutcomeRecord) {
+    for _ in 0..OUTCOME_TRIES {
+        let result = gateway.call(PeerCall::Outcome(record.clone())).await;
+        match result {
+            Ok(_) => return,
+            // It stands already, by an earlier try.
+            Err(failure) if failure.status == 409 => return,
+            Err(_) => tokio::time::sleep(Duration::from_millis(OUTCOME_PAUSE_MS)).await,
+        }
+    }
+    log::warn!(
+        "gateway: the outcome of key {} is not recorded.",
+        record.key
+    );
+}
--- /dev/null
+++ b/src/settings/gateway.rs
@@ -0,0 +1,167 @@
+//! Settings of the gateway.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::{Report, ensure};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::reports::layout::ReportLayout;
+use crate::settings::load::{checked_count, checked_ms};
+use crate::tables::name::ObjectName;
+
+/// Settings as they stand in the file.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct RawGatewaySettings {
+    /// This host's name on the platform's list.
+    pub host: ObjectName,
+    /// IP address and port to listen on.
+    pub listen: SocketAddr,
+    /// Schedulers, this host's own first.
+    pub schedulers: Vec<SocketAddr>,
+    /// Requests to runners.
+    #[serde(default)]
+    pub requests: RawRequestSettings,
+    /// Layout of the report.
+    #[serde(default)]
+    pub report: ReportLayout,
+    /// Time for a scheduler to answer; 100 to 60000, default 6000.
+    #[serde(default = "default_call")]
+    pub call_timeout_ms: u64,
+    /// Longest shutdown; 0 to 3600000, default 30000.
+    #[serde(default = "default_drain")]
+    pub drain_ms: u64,
+}
+
+fn default_call() -> u64 {
+    6_000
+}
+
+fn default_drain() -> u64 {
+    30_000
+}
+
+/// Requests to runners, as they stand in the file.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct RawRequestSettings {
+    /// Slots of a runner; 1 to 1024, default 8.
+    pub runner_slots: u64,
+    /// Connections of this host to one runner; 1 to 1024, default 6.
+    pub runner_connections: u64,
+    /// Deadline of a request that names none; 10 to 600000, default 10000.
+    pub deadline_ms: u64,
+    /// Time to connect; 10 to 60000, default 500.
+    pub connect_ms: u64,
+    /// Time one try of an idempotent request may take; 10 to 600000, default 3000.
+    pub attempt_ms: u64,
+    /// Retries allowed for each 100 requests; 0 to 100, default 20.
+    pub retry_percent: u64,
+    /// Longest queue of a team on this host; 0 to 100000, default 512.
+    pub queue_max: u64,
+    /// Largest body of a request in bytes; 1 to 1073741824, default 8388608.
+    pub body_max_bytes: u64,
+    /// Idle time after which a connection is probed before use; 10 to 600000, default 2000.
+    pub probe_idle_ms: u64,
+    /// Time for a probe to be answered; 10 to 60000, default 300.
+    pub probe_ms: u64,
+    /// Time between two reads of the routing state; 50 to 10000, default 250.
+    pub refresh_ms: u64,
+}
+
+impl Default for RawRequestSettings {
+    fn default() -> Self {
+        Self {
+            runner_slots: 8,
+            runner_connections: 6,
+            deadline_ms: 10_000,
+            connect_ms: 500,
+            attempt_ms: 3_000,
+            retry_percent: 20,
+            queue_max: 512,
+            body_max_bytes: 8_388_608,
+            probe_idle_ms: 2_000,
+            probe_ms: 300,
+            refresh_ms: 250,
+        }
+    }
+}
+
+/// Checked settings of requests.
+#[derive(Clone, Debug)]
+#[allow(missing_docs, reason = "each is the checked form of the raw key")]
+pub struct RequestSettings {
+    pub runner_slots: usize,
+    pub runner_connections: usize,
+    pub deadline: Duration,
+    pub connect: Duration,
+    pub attempt: Duration,
+    pub retry_percent: u64,
+    pub queue_max: usize,
+    pub body_max_bytes: usize,
+    pub probe_idle: Duration,
+    pub probe: Duration,
+    pub refresh: Duration,
+}
+
+impl TryFrom<RawRequestSettings> for RequestSettings {
+    type Error = Report;
+
+    fn try_from(raw: RawRequestSettings) -> Result<Self, Report> {
+        let ms = |key: &str, value, range| checked_ms(&format!("requests.{key}"), value, range);
+        let count = |key: &str, value, range| {
+            checked_count(&format!("requests.{key}"), value, range).map(|count| count as usize)
+        };
+        Ok(Self {
+            runner_slots: count("runner_slots", raw.runner_slots, 1..=1_024)?,
+            runner_connections: count("runner_connections", raw.runner_connections, 1..=1_024)?,
+            deadline: ms("deadline_ms", raw.deadline_ms, 10..=600_000)?,
+            connect: ms("connect_ms", raw.connect_ms, 10..=60_000)?,
+            attempt: ms("attempt_ms", raw.attempt_ms, 10..=600_000)?,
+            retry_percent: checked_count("requests.retry_percent", raw.retry_percent, 0..=100)?,
+            queue_max: count("queue_max", raw.queue_max, 0..=100_000)?,
+            body_max_bytes: count("body_max_bytes", raw.body_max_bytes, 1..=1_073_741_824)?,
+            probe_idle: ms("probe_idle_ms", raw.probe_idle_ms, 10..=600_000)?,
+            probe: ms("probe_ms", raw.probe_ms, 10..=60_000)?,
+            refresh: ms("refresh_ms", raw.refresh_ms, 50..=10_000)?,
+        })
+    }
+}
+
+/// Checked settings.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// The settings as read.
+    pub raw: RawGatewaySettings,
+    /// Requests to runners.
+    pub requests: RequestSettings,
+    /// Time for a scheduler to answer.
+    pub call_timeout: Duration,
+    /// Longest shutdown.
+    pub drain: Duration,
+}
+
+impl TryFrom<RawGatewaySettings> for GatewaySettings {
+    type Error = Report;
+
+    fn try_from(raw: RawGatewaySettings) -> Result<Self, Report> {
+        ensure!(
+            !raw.schedulers.is_empty(),
+            "key schedulers: none; at least one is needed"
+        );
+        raw.report
+            .check()
+            .map_err(|error| error.wrap_err("key report"))?;
+        let requests = RequestSettings::try_from(raw.requests.clone())?;
+        let call_timeout = checked_ms("call_timeout_ms", raw.call_timeout_ms, 100..=60_000)?;
+        let drain = checked_ms("drain_ms", raw.drain_ms, 0..=3_600_000)?;
+        Ok(Self {
+            raw,
+            requests,
+            call_timeout,
+            drain,
+        })
+    }
+}
--- /dev/null
+++ b/src/systems/borrow.rs
@@ -0,0 +1,166 @@
+//! Chooses cells for borrowed work, and cells to keep for a blocked gang.
+
+use crate::journal::state::FoldState;
+use crate::systems::order::expected_end_ms;
+use crate::systems::policy::PolicySettings;
+use crate::tables::cell::CellSpan;
+use crate::tables::job::{JobRow, JobSpec};
+use crate::tables::name::ObjectName;
+use crate::tables::rack::{CellChoice, RackRow, push_cells};
+
+/// Cells kept for gangs that were blocked for long.
+#[derive(Clone, Debug, Default)]
+pub struct ReservationTable {
+    /// Reservations, in the order in which they were made.
+    pub rows: Vec<ReservationRow>,
+}
+
+/// One reservation.
+#[derive(Clone, Debug)]
+pub struct ReservationRow {
+    /// The cells kept.
+    pub cells: Vec<CellSpan>,
+    /// When they are expected to be free, in log ms; work that ends before may use them.
+    pub free_ms: u64,
+}
+
+impl ReservationTable {
+    /// Returns the kept accelerators of a rack for work that ends at `end_ms`.
+    fn kept(&self, rack: u32, end_ms: u64) -> u128 {
+        let later = self.rows.iter().filter(|row| end_ms > row.free_ms);
+        let cells = later.flat_map(|row| &row.cells);
+        let own = cells.filter(|cell| cell.rack == rack);
+        own.fold(0, |mask, cell| mask | cell.mask())
+    }
+}
+
+/// Returns the failure domains a job may use.
+pub fn domains_for(state: &FoldState, spec: &JobSpec) -> Vec<ObjectName> {
+    match &spec.domain {
+        Some(domain) => vec![domain.clone()],
+        None => state.racks.domains(),
+    }
+}
+
+/// Chooses free cells for a whole gang in the failure domain where it breaks the least.
+pub fn choose_borrowed(
+    state: &FoldState,
+    job: &JobRow,
+    reserved: &ReservationTable,
+    policy: &PolicySettings,
+) -> Option<Vec<CellSpan>> {
+    let end_ms = state.now_ms + corrected_ms(state, job);
+    let mut best: Option<(u64, Vec<CellSpan>)> = None;
+    for domain in domains_for(state, &job.spec) {
+        let Some((cost, cells)) = choose_in(state, job, &domain, reserved, end_ms) else {
+            continue;
+        };
+        let weighed = cost * u64::from(policy.fragmentation_weight);
+        if best.as_ref().is_none_or(|(least, _)| weighed < *least) {
+            best = Some((weighed, cells));
+        }
+    }
+    best.map(|(_, cells)| cells)
+}
+
+fn corrected_ms(state: &FoldState, job: &JobRow) -> u64 {
+    let team = state.teams.find(&job.spec.team);
+    team.map_or(job.spec.declared_ms, |row| {
+        row.correct(job.spec.declared_ms)
+    })
+}
+
+fn choose_in(
+    state: &FoldState,
+    job: &JobRow,
+    domain: &ObjectName,
+    reserved: &ReservationTable,
+    end_ms: u64,
+) -> Option<(u64, Vec<CellSpan>)> {
+    let shape = job.spec.shape;
+    let mut choices = Vec::new();
+    for (rack, row) in state.racks.rows.iter().enumerate() {
+        if row.domain == *domain {
+            let free = row.free() & !reserved.kept(rack as u32, end_ms);
+            push_cells(rack as u32, free, shape, &mut choices);
+        }
+    }
+    let count = job.spec.count as usize;
+    if choices.len() < count {
+        return None;
+    }
+    choices.sort_by_key(|choice| (choice.around, choice.span));
+    choices.truncate(count);
+    Some((breaking_cost(&choices), spans_of(&choices)))
+}
+
+/// Counts the levels by which the choices break larger cells.
+fn breaking_cost(choices: &[CellChoice]) -> u64 {
+    let levels = |choice: &CellChoice| (choice.around - choice.span.shape.level()) as u64;
+    1 + choices.iter().map(levels).sum::<u64>()
+}
+
+fn spans_of(choices: &[CellChoice]) -> Vec<CellSpan> {
+    choices.iter().map(|choice| choice.span).collect()
+}
+
+/// Finds the cells that a blocked gang should get soonest, in the domain where that is.
+pub fn reserve_cells(state: &FoldState, job: &JobRow) -> Option<ReservationRow> {
+    let domains = domains_for(state, &job.spec);
+    let rows = domains
+        .iter()
+        .filter_map(|domain| reserve_in(state, job, domain));
+    rows.min_by_key(|row| row.free_ms)
+}
+
+fn reserve_in(state: &FoldState, job: &JobRow, domain: &ObjectName) -> Option<ReservationRow> {
+    let open = |row: &RackRow| row.usable & !row.hard;
+    let choices = state.racks.list_cells(domain, job.spec.shape, open);
+    if choices.len() < job.spec.count as usize {
+        return None;
+    }
+    let ends = held_ends(state, domain);
+    let mut timed: Vec<(u64, CellSpan)> = choices
+        .iter()
+        .map(|choice| (free_at(&ends, &choice.span, state.now_ms), choice.span))
+        .collect();
+    timed.sort();
+    timed.truncate(job.spec.count as usize);
+    let free_ms = timed.last().map_or(state.now_ms, |(at_ms, _)| *at_ms);
+    Some(ReservationRow {
+        cells: timed.into_iter().map(|(_, span)| span).collect(),
+        free_ms,
+    })
+}
+
+/// A held cell and when it should be given up.
+struct HeldEnd {
+    span: CellSpan,
+    end_ms: u64,
+}
+
+fn held_ends(state: &FoldState, domain: &ObjectName) -> Vec<HeldEnd> {
+    let mut ends = Vec::new();
+    for (job, attempt) in state.jobs.active() {
+        let end_ms = expected_end_ms(state, job);
+        let own = attempt.cells.iter().filter(|span| {
+            let row = state.racks.row(span.rack);
+            row.is_some_and(|row| row.domain == *domain)
+        });
+        ends.extend(own.map(|span| HeldEnd {
+            span: *span,
+            end_ms,
+        }));
+    }
+    ends.sort_by_key(|held| held.span.rack);
+    ends
+}
+
+fn free_at(ends: &[HeldEnd], span: &CellSpan, now_ms: u64) -> u64 {
+    let first = ends.partition_point(|held| held.span.rack < span.rack);
+    let same = ends[first..]
+        .iter()
+        .take_while(|held| held.span.rack == span.rack);
+    let over = same.filter(|held| held.span.mask() & span.mask() != 0);
+    over.map(|held| held.end_ms).max().unwrap_or(now_ms)
+}
--- /dev/null
+++ b/src/systems/claim.rs
@@ -0,0 +1,216 @@
+//! Chooses cells inside a team's guarantee and the borrowed work that must leave them.
+
+use crate::journal::record::PlaceRecord;
+use crate::journal::state::FoldState;
+use crate::systems::borrow::domains_for;
+use crate::systems::order::eviction_loss;
+use crate::tables::cell::{CellShape, CellSpan, LevelCounts};
+use crate::tables::job::JobRow;
+use crate::tables::name::ObjectName;
+use crate::tables::rack::{RackRow, push_cells};
+
+/// A claim on guaranteed cells.
+#[derive(Clone, Debug, Default)]
+struct ClaimDraft {
+    cells: Vec<CellSpan>,
+    bind: Vec<CellSpan>,
+    loss: u64,
+}
+
+/// Returns a placement of the whole gang inside its team's guarantee, if one is left.
+///
+/// Of the failure domains it takes the one where the evictions lose the least work.
+pub fn choose_guaranteed(state: &FoldState, job: &JobRow) -> Option<PlaceRecord> {
+    let domains = domains_for(state, &job.spec);
+    let drafts = domains
+        .iter()
+        .filter_map(|domain| draft_claim(state, job, domain));
+    let draft = drafts.min_by_key(|draft| draft.loss)?;
+    Some(PlaceRecord {
+        job: job.spec.id.clone(),
+        attempt: job.attempts + 1,
+        victims: state.overlapping(&draft.cells),
+        cells: draft.cells,
+        guaranteed: true,
+        bind: draft.bind,
+    })
+}
+
+fn draft_claim(state: &FoldState, job: &JobRow, domain: &ObjectName) -> Option<ClaimDraft> {
+    let team = state.teams.find(&job.spec.team)?;
+    let shape = job.spec.shape;
+    let wide_enough =
+        |held: &&crate::tables::team::TeamGuarantee| held.domain == *domain && held.shape >= shape;
+    let mut held: Vec<_> = team.spec.guarantees.iter().filter(wide_enough).collect();
+    if held.is_empty() {
+        return None;
+    }
+    held.sort_by_key(|guarantee| guarantee.shape);
+    let losses = LossTable::new(state, domain);
+    let count = job.spec.count as usize;
+    let mut draft = ClaimDraft::default();
+    take_bound(state, job, domain, &losses, &mut draft);
+    let mut trial = BindTrial::new(state, domain);
+    for guarantee in held {
+        let bound = state.count_bound(&job.spec.team, domain, guarantee.shape);
+        let unbound = guarantee.count.saturating_sub(bound);
+        for _ in 0..unbound {
+            if draft.cells.len() >= count {
+                break;
+            }
+            let span = trial.bind(guarantee.shape, &losses)?;
+            draft.bind.push(span);
+            take_inside(span, span.mask(), shape, &losses, count, &mut draft);
+        }
+    }
+    (draft.cells.len() >= count).then_some(draft)
+}
+
+/// Takes cells inside the bindings that the team has already.
+fn take_bound(
+    state: &FoldState,
+    job: &JobRow,
+    domain: &ObjectName,
+    losses: &LossTable,
+    draft: &mut ClaimDraft,
+) {
+    let mut own: Vec<(u32, CellSpan, u128)> = Vec::new();
+    for binding in &state.teams.bindings {
+        let row = state.racks.row(binding.span.rack);
+        let Some(row) = row.filter(|row| row.domain == *domain) else {
+            continue;
+        };
+        if binding.team == job.spec.team {
+            let open = row.usable & !row.hard & binding.span.mask();
+            own.push((open.count_ones(), binding.span, open));
+        }
+    }
+    // The fullest binding first, so that others can be given up.
+    own.sort_by_key(|(open, span, _)| (*open, *span));
+    for (_, span, open) in own {
+        let count = job.spec.count as usize;
+        take_inside(span, open, job.spec.shape, losses, count, draft);
+    }
+}
+
+/// Takes the cells of a mask that lose the least work, up to `count` in all.
+fn take_inside(
+    span: CellSpan,
+    open: u128,
+    shape: CellShape,
+    losses: &LossTable,
+    count: usize,
+    draft: &mut ClaimDraft,
+) {
+    let mut choices = Vec::new();
+    push_cells(span.rack, open, shape, &mut choices);
+    choices.sort_by_key(|choice| (losses.of(&choice.span), choice.around, choice.span.first));
+    let left = count.saturating_sub(draft.cells.len());
+    for choice in choices.into_iter().take(left) {
+        draft.loss = draft.loss.saturating_add(losses.of(&choice.span));
+        draft.cells.push(choice.span);
+    }
+}
+
+/// What evictions would lose, by held cell.
+struct LossTable {
+    /// Cells that borrowed attempts hold, sorted by rack.
+    rows: Vec<LossRow>,
+}
+
+struct LossRow {
+    span: CellSpan,
+    loss: u64,
+}
+
+impl LossTable {
+    fn new(state: &FoldState, domain: &ObjectName) -> Self {
+        let mut rows = Vec::new();
+        for (job, attempt) in state.jobs.active().filter(|(_, attempt)| attempt.holds) {
+            let inside = attempt.cells.iter().filter(|span| {
+                let row = state.racks.row(span.rack);
+                row.is_some_and(|row| row.domain == *domain)
+            });
+            let loss = eviction_loss(job, state.now_ms);
+            rows.extend(inside.map(|span| LossRow { span: *span, loss }));
+        }
+        rows.sort_by_key(|row| row.span.rack);
+        Self { rows }
+    }
+
+    /// Returns the work lost by clearing a cell, in accelerator-ms.
+    fn of(&self, span: &CellSpan) -> u64 {
+        let first = self.rows.partition_point(|row| row.span.rack < span.rack);
+        let same = self.rows[first..]
+            .iter()
+            .take_while(|row| row.span.rack == span.rack);
+        let over = same.filter(|row| row.span.mask() & span.mask() != 0);
+        over.map(|row| row.loss).fold(0, u64::saturating_add)
+    }
+}
+
+/// Tries bindings on a copy of a failure domain's masks.
+struct BindTrial<'a> {
+    state: &'a FoldState,
+    domain: &'a ObjectName,
+    /// Cells bound so far in this trial.
+    taken: Vec<CellSpan>,
+    wanted: LevelCounts,
+    limit: i64,
+}
+
+impl<'a> BindTrial<'a> {
+    fn new(state: &'a FoldState, domain: &'a ObjectName) -> Self {
+        Self {
+            state,
+            domain,
+            taken: Vec::new(),
+            wanted: state.unbound_cells(domain),
+            limit: state.shortage(domain),
+        }
+    }
+
+    /// Binds one more cell of a shape so that all other guarantees still fit.
+    fn bind(&mut self, shape: CellShape, losses: &LossTable) -> Option<CellSpan> {
+        let free = self.free_cells();
+        let mut wanted = self.wanted;
+        wanted.0[shape.level()] -= 1;
+        let fits = |around: usize| {
+            let mut left = free;
+            left.carve(around, shape.level());
+            left.shortage(&wanted) <= self.limit
+        };
+        let mut choices = Vec::new();
+        for (rack, row) in self.state.racks.rows.iter().enumerate() {
+            if row.domain == *self.domain {
+                push_cells(
+                    rack as u32,
+                    self.open(rack as u32, row),
+                    shape,
+                    &mut choices,
+                );
+            }
+        }
+        let allowed = choices.into_iter().filter(|choice| fits(choice.around));
+        let best =
+            allowed.min_by_key(|choice| (losses.of(&choice.span), choice.around, choice.span))?;
+        self.wanted = wanted;
+        self.taken.push(best.span);
+        Some(best.span)
+    }
+
+    fn free_cells(&self) -> LevelCounts {
+        let mut counts = LevelCounts::default();
+        for (rack, row) in self.state.racks.rows.iter().enumerate() {
+            if row.domain == *self.domain {
+                counts.add(&LevelCounts::of_mask(self.open(rack as u32, row)));
+            }
+        }
+        counts
+    }
+
+    fn open(&self, rack: u32, row: &RackRow) -> u128 {
+        let own = self.taken.iter().filter(|span| span.rack == rack);
+        own.fold(row.reclaimable(), |mask, span| mask & !span.mask())
+    }
+}
--- /dev/null
+++ b/src/systems/keep.rs
@@ -0,0 +1,139 @@
+//! What each worker should be doing, and what its answers mean for the journal.
+
+use crate::journal::record::TaskReport;
+use crate::journal::state::FoldState;
+use crate::tables::job::{AttemptPhase, AttemptRow, JobRow, StopCause, TaskRow, TaskState};
+use crate::tables::name::ObjectName;
+use crate::tables::rack::WorkerSlot;
+use crate::wire::worker::{TaskOrder, TaskStatus, TaskWant, WorkerTaskState};
+
+/// One task's order with its place in the tables.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderRow {
+    /// The worker it is for.
+    pub slot: WorkerSlot,
+    /// The job.
+    pub job: ObjectName,
+    /// The attempt.
+    pub attempt: u32,
+    /// The task's index.
+    pub task: u16,
+    /// The state that the journal knows.
+    pub known: TaskState,
+    /// The order as it is sent.
+    pub order: TaskOrder,
+}
+
+/// Orders for all workers, sorted by worker.
+#[derive(Clone, Debug, Default)]
+pub struct OrderTable {
+    /// The rows.
+    pub rows: Vec<OrderRow>,
+}
+
+impl OrderTable {
+    /// Derives the orders from the folded state.
+    pub fn derive(state: &FoldState, grace_ms: u64) -> Self {
+        let mut rows = Vec::new();
+        for (job, attempt) in state.jobs.active() {
+            for (index, task) in attempt.tasks.iter().enumerate() {
+                rows.extend(order_row(job, attempt, index, task, grace_ms));
+            }
+        }
+        rows.sort_by_key(|row| row.slot);
+        Self { rows }
+    }
+
+    /// Returns the orders for one worker.
+    pub fn for_worker(&self, slot: WorkerSlot) -> &[OrderRow] {
+        let first = self.rows.partition_point(|row| row.slot < slot);
+        let after = self.rows.partition_point(|row| row.slot <= slot);
+        &self.rows[first..after]
+    }
+}
+
+fn order_row(
+    job: &JobRow,
+    attempt: &AttemptRow,
+    index: usize,
+    task: &TaskRow,
+    grace_ms: u64,
+) -> Option<OrderRow> {
+    let want = match attempt.phase {
+        AttemptPhase::Reclaiming => return None,
+        AttemptPhase::Preparing => TaskWant::Prepare,
+        AttemptPhase::Running => TaskWant::Run,
+        AttemptPhase::Stopping(_) => TaskWant::Stop,
+    };
+    // What is over needs no order; the worker forgets it.
+    if task.state.is_over() {
+        return None;
+    }
+    let checkpoint = attempt.phase == AttemptPhase::Stopping(StopCause::Reclaimed);
+    Some(OrderRow {
+        slot: task.slot,
+        job: job.spec.id.clone(),
+        attempt: attempt.number,
+        task: index as u16,
+        known: task.state,
+        order: TaskOrder {
+            task: format!("{}/{index}", job.spec.id),
+            token: attempt.token,
+            want,
+            accelerators: task.accelerators,
+            grace_ms: if checkpoint { grace_ms } else { 0 },
+            command: job.spec.command.clone(),
+        },
+    })
+}
+
+/// Returns what a worker's answer adds to the journal.
+pub fn reports_of(rows: &[OrderRow], statuses: &[TaskStatus]) -> Vec<TaskReport> {
+    let mut reports = Vec::new();
+    for status in statuses {
+        let same =
+            |row: &&OrderRow| row.order.task == status.task && row.order.token == status.token;
+        let Some(row) = rows.iter().find(same) else {
+            continue;
+        };
+        let state = state_of(status.state);
+        if row.known.may_become(state) {
+            reports.push(report_row(row, state, status.ran_ms));
+        }
+    }
+    reports
+}
+
+/// Returns reports that a silent worker's tasks are lost.
+pub fn lost_reports(rows: &[OrderRow]) -> Vec<TaskReport> {
+    let open = rows.iter().filter(|row| row.known != TaskState::Lost);
+    open.map(|row| report_row(row, TaskState::Lost, 0))
+        .collect()
+}
+
+/// Returns reports that the lost tasks' leases have surely ended.
+pub fn released_reports(rows: &[OrderRow]) -> Vec<TaskReport> {
+    let lost = rows.iter().filter(|row| row.known == TaskState::Lost);
+    lost.map(|row| report_row(row, TaskState::Released, 0))
+        .collect()
+}
+
+fn report_row(row: &OrderRow, state: TaskState, ran_ms: u64) -> TaskReport {
+    TaskReport {
+        job: row.job.clone(),
+        attempt: row.attempt,
+        task: row.task,
+        state,
+        ran_ms,
+    }
+}
+
+fn state_of(state: WorkerTaskState) -> TaskState {
+    match state {
+        WorkerTaskState::Prepared => TaskState::Prepared,
+        WorkerTaskState::Running => TaskState::Running,
+        WorkerTaskState::Finished => TaskState::Finished,
+        WorkerTaskState::Failed => TaskState::Failed,
+        WorkerTaskState::Stopped => TaskState::Stopped,
+    }
+}
--- /dev/null
+++ b/src/systems/plan.rs
@@ -0,0 +1,244 @@
+//! Plans placements for the waiting jobs.
+
+use crate::journal::fold::PlacedRecord;
+use crate::journal::record::{JournalRecord, PlaceRecord, RecordBody, RecordId, RejectRecord};
+use crate::journal::state::FoldState;
+use crate::systems::borrow::{ReservationTable, choose_borrowed, domains_for, reserve_cells};
+use crate::systems::claim::choose_guaranteed;
+use crate::systems::order::order_waiting;
+use crate::systems::policy::PolicySettings;
+use crate::tables::audit::AuditTable;
+use crate::tables::job::{JobRow, JobSpec};
+use crate::tables::key::KeyTable;
+use crate::tables::name::ObjectName;
+use crate::tables::rack::RackRow;
+use crate::tables::worker::WorkerState;
+
+/// Most reservations at once.
+const RESERVATIONS_MAX: usize = 4;
+
+/// A plan and the work it took.
+#[derive(Clone, Debug, Default)]
+pub struct PlanResult {
+    /// Records to append.
+    pub records: Vec<RecordBody>,
+    /// Waiting jobs for which cells were searched.
+    pub searched: usize,
+}
+
+/// A gang that found no free cells; larger ones need not be tried.
+struct FailedSearch {
+    team: ObjectName,
+    domain: Option<ObjectName>,
+    level: usize,
+    count: u32,
+    guaranteed: bool,
+}
+
+/// Returns the records that place, reject or give another try, for the state as folded.
+pub fn plan(state: &FoldState, policy: &PolicySettings) -> PlanResult {
+    let mut result = PlanResult {
+        records: probations(state),
+        searched: 0,
+    };
+    if state.jobs.waiting().next().is_some() {
+        Planner::new(state, policy).run(&mut result);
+    }
+    result
+}
+
+fn probations(state: &FoldState) -> Vec<RecordBody> {
+    let quarantined = state
+        .racks
+        .workers()
+        .filter(|(_, worker)| worker.quarantined);
+    let over = quarantined.filter(|(_, worker)| worker.quarantine_until_ms <= state.now_ms);
+    over.map(|(slot, _)| RecordBody::Probation(slot)).collect()
+}
+
+struct Planner<'a> {
+    /// A copy on which the plan's own records are folded.
+    scratch: FoldState,
+    policy: &'a PolicySettings,
+    reserved: ReservationTable,
+    failed: Vec<FailedSearch>,
+    placed: usize,
+    seq: u64,
+}
+
+impl<'a> Planner<'a> {
+    fn new(state: &FoldState, policy: &'a PolicySettings) -> Self {
+        let scratch = FoldState {
+            audit: AuditTable::default(),
+            keys: KeyTable::default(),
+            ..state.clone()
+        };
+        Self {
+            scratch,
+            policy,
+            reserved: ReservationTable::default(),
+            failed: Vec::new(),
+            placed: 0,
+            seq: 0,
+        }
+    }
+
+    fn run(mut self, result: &mut PlanResult) {
+        for id in order_waiting(&self.scratch, self.policy) {
+            if self.placed >= self.policy.placements_per_tick {
+                break;
+            }
+            let Some(job) = self.scratch.jobs.find(&id).cloned() else {
+                continue;
+            };
+            self.try_job(&job, result);
+        }
+    }
+
+    fn try_job(&mut self, job: &JobRow, result: &mut PlanResult) {
+        if self.is_over_quota(&job.spec) {
+            return;
+        }
+        let known_to_fail = self.has_failed(&job.spec, true) && self.has_failed(&job.spec, false);
+        if known_to_fail {
+            self.reserve(job);
+            return;
+        }
+        result.searched += 1;
+        if let Some(place) = self.search(job) {
+            self.accept(RecordBody::Place(place), result);
+        } else if let Some(reason) = self.never_fits(job) {
+            let job = job.spec.id.clone();
+            self.accept(RecordBody::Reject(RejectRecord { job, reason }), result);
+        } else {
+            self.reserve(job);
+        }
+    }
+
+    fn search(&mut self, job: &JobRow) -> Option<PlaceRecord> {
+        if !self.has_failed(&job.spec, true) {
+            if let Some(place) = choose_guaranteed(&self.scratch, job) {
+                return Some(place);
+            }
+            self.note_failed(&job.spec, true);
+        }
+        let team = self.scratch.teams.find(&job.spec.team)?;
+        if !team.spec.may_borrow || self.has_failed(&job.spec, false) {
+            return None;
+        }
+        let cells = choose_borrowed(&self.scratch, job, &self.reserved, self.policy);
+        if cells.is_none() {
+            self.note_failed(&job.spec, false);
+        }
+        Some(PlaceRecord {
+            job: job.spec.id.clone(),
+            attempt: job.attempts + 1,
+            cells: cells?,
+            guaranteed: false,
+            bind: Vec::new(),
+            victims: Vec::new(),
+        })
+    }
+
+    /// Folds a planned record into the copy; what the fold refuses is not planned.
+    fn accept(&mut self, body: RecordBody, result: &mut PlanResult) {
+        self.seq += 1;
+        let placed = PlacedRecord {
+            offset: self.scratch.next_offset,
+            at_ms: self.scratch.now_ms,
+            record: Some(JournalRecord {
+                id: RecordId {
+                    boot: u64::MAX,
+                    seq: self.seq,
+                },
+                host: planner_name(),
+                body: body.clone(),
+            }),
+        };
+        let step = self.scratch.apply(&placed);
+        if step.verdict == crate::journal::fold::FoldVerdict::Accepted {
+            self.placed += 1;
+            result.records.push(body);
+        } else {
+            log::warn!("plan: the fold refuses an own record: {:?}.", step.verdict);
+        }
+    }
+
+    fn is_over_quota(&self, spec: &JobSpec) -> bool {
+        let team = self.scratch.teams.find(&spec.team);
+        let quota = team.map_or(0, |row| row.spec.quota_accelerators);
+        self.scratch.team_holds(&spec.team) + spec.accelerators() > quota
+    }
+
+    fn has_failed(&self, spec: &JobSpec, guaranteed: bool) -> bool {
+        self.failed.iter().any(|failed| {
+            failed.guaranteed == guaranteed
+                && (!guaranteed || failed.team == spec.team)
+                && (failed.domain.is_none() || failed.domain == spec.domain)
+                && failed.level <= spec.shape.level()
+                && failed.count <= spec.count
+        })
+    }
+
+    fn note_failed(&mut self, spec: &JobSpec, guaranteed: bool) {
+        self.failed.push(FailedSearch {
+            team: spec.team.clone(),
+            domain: spec.domain.clone(),
+            level: spec.shape.level(),
+            count: spec.count,
+            guaranteed,
+        });
+    }
+
+    fn reserve(&mut self, job: &JobRow) {
+        let waited_ms = self.scratch.now_ms.saturating_sub(job.submitted_ms);
+        let due = job.spec.urgent || waited_ms >= self.policy.reservation_ms;
+        let may_borrow = self
+            .scratch
+            .teams
+            .find(&job.spec.team)
+            .is_some_and(|row| row.spec.may_borrow);
+        if due && may_borrow && self.reserved.rows.len() < RESERVATIONS_MAX {
+            self.reserved.rows.extend(reserve_cells(&self.scratch, job));
+        }
+    }
+
+    /// Returns why no failure domain could ever hold the gang, if none could.
+    fn never_fits(&self, job: &JobRow) -> Option<String> {
+        let waited_ms = self.scratch.now_ms.saturating_sub(job.submitted_ms);
+        let known = !self.scratch.racks.rows.is_empty();
+        if !known || waited_ms < self.policy.reject_after_ms {
+            return None;
+        }
+        let domains = domains_for(&self.scratch, &job.spec);
+        let whole = |domain: &ObjectName| {
+            let racks = &self.scratch.racks;
+            racks.list_cells(domain, job.spec.shape, whole_rack).len()
+        };
+        let most = domains.iter().map(whole).max().unwrap_or(0);
+        (most < job.spec.count as usize).then(|| {
+            format!(
+                "no failure domain has {} shapes of {} accelerators; the most is {most}",
+                job.spec.count,
+                job.spec.shape.accelerators()
+            )
+        })
+    }
+}
+
+/// Returns the accelerators of all workers that are there, healthy or not.
+fn whole_rack(row: &RackRow) -> u128 {
+    let mut whole = row.clone();
+    for worker in whole.workers.iter_mut().flatten() {
+        if worker.state != WorkerState::Gone {
+            worker.state = WorkerState::Live;
+            worker.quarantined = false;
+        }
+    }
+    whole.refresh_usable();
+    whole.usable
+}
+
+fn planner_name() -> ObjectName {
+    ObjectName::try_from("planner").expect("a constant name is valid")
+}
--- /dev/null
+++ b/standins/src/bin/demo.rs
@@ -0,0 +1,169 @@
+//! The demo: a whole deployment on loopback, both paths, and the report.
+//!
+//! The same program plays the daemons: `demo role scheduler SETTINGS` is a scheduler.
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use eyre::{Report, ensure, eyre};
+use hemlockramp::command::daemon::run_program;
+use hemlockramp::command::programs::{GatewayProgram, SchedulerProgram};
+use serde_json::{Value, json};
+use standins::caller;
+use standins::stage::{DaemonCommand, Stage, StagePlan};
+
+/// Bookings sent under keys of their own.
+const BOOKINGS: usize = 5;
+
+fn main() -> ExitCode {
+    let mut arguments = std::env::args_os().skip(1);
+    if arguments.next().is_none_or(|word| word != "role") {
+        return run_demo();
+    }
+    match arguments.next().as_deref().and_then(|role| role.to_str()) {
+        Some("scheduler") => run_program::<SchedulerProgram>(arguments),
+        Some("gateway") => run_program::<GatewayProgram>(arguments),
+        _ => ExitCode::from(2),
+    }
+}
+
+fn run_demo() -> ExitCode {
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => return fail(&error.into()),
+    };
+    match runtime.block_on(demo()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
+fn fail(error: &Report) -> ExitCode {
+    eprintln!("demo: {error:?}");
+    ExitCode::FAILURE
+}
+
+async fn demo() -> Result<(), Report> {
+    let folder = std::env::temp_dir().join(format!("hemlockramp-demo-{}", std::process::id()));
+    println!(
+        "Starts 2 entry hosts, 8 workers and 2 runners; logs are in {}.",
+        folder.display()
+    );
+    let stage = Stage::start(StagePlan {
+        scheduler: role("scheduler")?,
+        gateway: role("gateway")?,
+        hosts: 2,
+        workers: 8,
+        runners: 2,
+        timing: json!({}),
+        requests: json!({}),
+        list_lag: Duration::from_millis(500),
+        folder,
+    })
+    .await?;
+    show_jobs(&stage).await?;
+    show_requests(&stage).await?;
+    println!("\n{}", stage.get_text(0, "/report").await?);
+    let violations = stage.violations();
+    stage.close().await;
+    ensure!(violations.is_empty(), "the stand-ins saw: {violations:?}");
+    println!("All good.");
+    Ok(())
+}
+
+fn role(name: &str) -> Result<DaemonCommand, Report> {
+    let program = std::env::current_exe()?.into_os_string();
+    Ok(DaemonCommand {
+        words: vec![program, OsString::from("role"), OsString::from(name)],
+    })
+}
+
+/// Path 1: a ticket, a borrowing gang, and a guaranteed gang that reclaims.
+async fn show_jobs(stage: &Stage) -> Result<(), Report> {
+    let ticket = json!({
+        "number": 1,
+        "author": "depot-operator",
+        "teams": [
+            { "team": "restock", "quota_accelerators": 64,
+              "guarantees": [{ "domain": "d0", "shape": 32, "count": 1 }] },
+            { "team": "photos", "quota_accelerators": 64 },
+        ],
+    });
+    println!("\nTicket 1: {}", stage.post(0, "/tickets", &ticket).await?);
+    let photos = gang("photo-sort", "photos", 8, 8, 1_500);
+    println!("Borrowing gang: {}", stage.post(0, "/jobs", &photos).await?);
+    stage.wait_job(1, "photo-sort", "running").await?;
+    let restock = gang("restock-plan", "restock", 32, 1, 300);
+    println!(
+        "Guaranteed gang: {}",
+        stage.post(1, "/jobs", &restock).await?
+    );
+    stage.wait_job(0, "restock-plan", "finished").await?;
+    stage.wait_job(1, "photo-sort", "finished").await?;
+    println!("Ticket 1 now: {}", stage.get(1, "/tickets/1").await?);
+    for id in ["restock-plan", "photo-sort"] {
+        print_steps(&stage.get(0, &format!("/jobs/{id}/explain")).await?);
+    }
+    Ok(())
+}
+
+fn gang(id: &str, team: &str, shape: u32, count: u32, run_ms: u64) -> Value {
+    json!({
+        "id": id, "team": team, "shape": shape, "count": count,
+        "declared_ms": run_ms, "command": format!("run {run_ms}"),
+    })
+}
+
+fn print_steps(explained: &Value) {
+    println!("\nexplain {}:", explained["job"]["id"]);
+    for step in explained["steps"].as_array().into_iter().flatten() {
+        println!(
+            "  offset {:>3}: {}",
+            step["offset"],
+            step["text"].as_str().unwrap_or("?")
+        );
+    }
+}
+
+/// Path 2: an idempotent request, then keyed bookings, each sent twice.
+async fn show_requests(stage: &Stage) -> Result<(), Report> {
+    let gateway = stage.entries[0].gateway_address;
+    let slots = caller::post(
+        gateway,
+        "/requests/photos/slots",
+        &["hemlockramp-idempotent: true"],
+        "free?",
+    )
+    .await?;
+    println!("\nIdempotent request: {} {}", slots.status, slots.body);
+    ensure!(slots.body == "free?", "the answer is another's");
+    for booking in 0..BOOKINGS {
+        let key = format!("idempotency-key: booking-{booking}");
+        let body = format!("couch {booking}");
+        for entry in &stage.entries {
+            let address = entry.gateway_address;
+            let answer = caller::post(address, "/requests/photos/book", &[&key], &body).await?;
+            ensure!(
+                answer.status == 200,
+                "booking {booking}: {} {}",
+                answer.status,
+                answer.body
+            );
+            ensure!(
+                answer.body == body,
+                "booking {booking} got another's answer"
+            );
+        }
+    }
+    let effects = stage
+        .runners
+        .iter()
+        .flat_map(|(runner, _)| runner.effects());
+    let booked = effects.filter(|effect| effect.path == "book").count();
+    println!("{BOOKINGS} bookings, each sent to both gateways: {booked} effects.");
+    match booked == BOOKINGS {
+        true => Ok(()),
+        false => Err(eyre!("{booked} effects of {BOOKINGS} bookings")),
+    }
+}
--- /dev/null
+++ b/standins/src/caller.rs
@@ -0,0 +1,74 @@
+//! A plain caller: one request on a connection of its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use eyre::{Report, eyre};
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::handshake;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// Longest wait for an answer, in ms.
+const ANSWER_MS: u64 = 30_000;
+
+/// A whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallerAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Verdict header, or empty.
+    pub verdict: String,
+    /// Body as text.
+    pub body: String,
+}
+
+/// Posts a body with headers given as `name: value`.
+///
+/// # Errors
+///
+/// Fails when no whole answer comes.
+pub async fn post(
+    address: SocketAddr,
+    path: &str,
+    headers: &[&str],
+    body: &str,
+) -> Result<CallerAnswer, Report> {
+    let limit = Duration::from_millis(ANSWER_MS);
+    tokio::time::timeout(limit, exchange(address, path, headers, body)).await?
+}
+
+async fn exchange(
+    address: SocketAddr,
+    path: &str,
+    headers: &[&str],
+    body: &str,
+) -> Result<CallerAnswer, Report> {
+    let stream = TcpStream::connect(address).await?;
+    let (mut sender, driver) = handshake(TokioIo::new(stream)).await?;
+    let driver = tokio::spawn(driver);
+    let mut builder = Request::post(path).header("host", address.to_string());
+    for header in headers {
+        let (name, value) = header
+            .split_once(": ")
+            .ok_or_else(|| eyre!("header {header:?}"))?;
+        builder = builder.header(name, value);
+    }
+    let request = builder.body(Full::new(Bytes::from(body.to_owned())))?;
+    let response = sender.send_request(request).await?;
+    let status = response.status().as_u16();
+    let verdict = response.headers().get("hemlockramp-verdict");
+    let verdict = verdict
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("")
+        .to_owned();
+    let bytes = response.into_body().collect().await?.to_bytes();
+    driver.abort();
+    Ok(CallerAnswer {
+        status,
+        verdict,
+        body: String::from_utf8_lossy(&bytes).into_owned(),
+    })
+}
--- /dev/null
+++ b/standins/src/host_list.rs
@@ -0,0 +1,115 @@
+//! The platform's host list. It shows a change only after a lag.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use dropshot::{ApiDescription, HttpServer, RequestContext, TypedBody, endpoint};
+use eyre::{Report, eyre};
+use hemlockramp::daemons::http_reply::{HttpReply, json_reply, text_reply};
+use hemlockramp::wire::log::HostListing;
+use tokio::time::Instant;
+
+use crate::fault::{FaultMode, FaultSetting, FaultSwitch};
+use crate::server::start_server;
+
+/// The list's state.
+#[derive(Default)]
+pub struct HostList {
+    /// Lists with the time from which each is shown.
+    versions: Mutex<Vec<ListVersion>>,
+    /// Lag of a change.
+    pub lag: Duration,
+    /// Fault of reads.
+    pub fault: FaultSwitch,
+}
+
+struct ListVersion {
+    from: Instant,
+    listing: HostListing,
+}
+
+/// The list as its endpoints share it.
+pub type SharedHosts = Arc<HostList>;
+
+impl HostList {
+    /// Creates an empty list with a lag.
+    pub fn new(lag: Duration) -> Self {
+        Self {
+            lag,
+            ..Self::default()
+        }
+    }
+
+    /// Replaces the list, after the lag. The first list is shown at once.
+    pub fn put(&self, listing: HostListing) {
+        let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        let lag = match versions.is_empty() {
+            true => Duration::ZERO,
+            false => self.lag,
+        };
+        versions.push(ListVersion {
+            from: Instant::now() + lag,
+            listing,
+        });
+    }
+
+    /// Returns the newest list, shown or not.
+    pub fn newest(&self) -> HostListing {
+        let versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        versions
+            .last()
+            .map_or_else(HostListing::default, |version| version.listing.clone())
+    }
+
+    fn shown(&self) -> HostListing {
+        let versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        let old = versions.iter().rfind(|version| version.from <= now);
+        old.map_or_else(HostListing::default, |version| version.listing.clone())
+    }
+}
+
+/// Starts the list.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub fn start_hosts(
+    hosts: SharedHosts,
+    listen: SocketAddr,
+) -> Result<HttpServer<SharedHosts>, Report> {
+    let mut api = ApiDescription::new();
+    let registered = api
+        .register(get_hosts)
+        .and_then(|()| api.register(post_hosts))
+        .and_then(|()| api.register(post_fault));
+    registered.map_err(|error| eyre!("interface: {error}"))?;
+    start_server(api, hosts, listen)
+}
+
+#[endpoint { method = GET, path = "/hosts" }]
+async fn get_hosts(request: RequestContext<SharedHosts>) -> HttpReply {
+    match request.context().fault.before().await {
+        FaultMode::Down => text_reply(503, "the list is down".to_owned()),
+        _ => json_reply(200, &request.context().shown()),
+    }
+}
+
+#[endpoint { method = POST, path = "/hosts" }]
+async fn post_hosts(
+    request: RequestContext<SharedHosts>,
+    body: TypedBody<HostListing>,
+) -> HttpReply {
+    request.context().put(body.into_inner());
+    text_reply(200, "set\n".to_owned())
+}
+
+#[endpoint { method = POST, path = "/fault" }]
+async fn post_fault(
+    request: RequestContext<SharedHosts>,
+    body: TypedBody<FaultSetting>,
+) -> HttpReply {
+    request.context().fault.set(body.into_inner());
+    text_reply(200, "set\n".to_owned())
+}
--- /dev/null
+++ b/standins/src/runner.rs
@@ -0,0 +1,232 @@
+//! A runner: serves requests in a fixed number of slots and counts their effects.
+//!
+//! `POST /run/PATH?work_ms=N` works for N ms and answers with what it was sent.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use dropshot::{
+    ApiDescription, Body, HttpServer, Path, Query, RequestContext, StreamingBody, TypedBody,
+    endpoint,
+};
+use eyre::{Report, eyre};
+use hemlockramp::daemons::http_reply::{HttpReply, json_reply, read_body, text_reply};
+use hemlockramp::routing::connection::{LEAVING_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER};
+use http::Response;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::fault::{FaultMode, FaultSetting, FaultSwitch};
+use crate::server::{now_ms, start_server};
+
+/// Largest body, in bytes.
+const BODY_MAX_BYTES: usize = 64 * 1024 * 1024;
+/// Bytes missing from a truncated answer.
+const TRUNCATED_BYTES: usize = 1;
+
+/// One effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct EffectRow {
+    /// Path of the request.
+    pub path: String,
+    /// Its body, as text.
+    pub body: String,
+    /// When, Unix ms.
+    pub at_ms: u64,
+}
+
+/// The runner's state.
+pub struct Runner {
+    slots: usize,
+    busy: AtomicUsize,
+    most_busy: AtomicUsize,
+    refused: AtomicUsize,
+    leaving: AtomicBool,
+    effects: Mutex<Vec<EffectRow>>,
+    /// Fault of `/run`.
+    pub fault: FaultSwitch,
+    /// Fault of `/health`.
+    pub health_fault: FaultSwitch,
+}
+
+/// The runner as its endpoints share it.
+pub type SharedRunner = Arc<Runner>;
+
+impl Runner {
+    /// Creates a runner with a number of slots.
+    pub fn new(slots: usize) -> Self {
+        Self {
+            slots,
+            busy: AtomicUsize::new(0),
+            most_busy: AtomicUsize::new(0),
+            refused: AtomicUsize::new(0),
+            leaving: AtomicBool::new(false),
+            effects: Mutex::default(),
+            fault: FaultSwitch::default(),
+            health_fault: FaultSwitch::default(),
+        }
+    }
+
+    /// Returns all effects so far.
+    pub fn effects(&self) -> Vec<EffectRow> {
+        let effects = self.effects.lock().unwrap_or_else(PoisonError::into_inner);
+        effects.clone()
+    }
+
+    /// Refuses new work from now on.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns the most requests worked on at once.
+    pub fn most_busy(&self) -> usize {
+        self.most_busy.load(Ordering::SeqCst)
+    }
+
+    /// Returns the requests refused because all slots were taken.
+    pub fn refused(&self) -> usize {
+        self.refused.load(Ordering::SeqCst)
+    }
+
+    fn take_slot(&self) -> bool {
+        let busy = self.busy.fetch_add(1, Ordering::SeqCst) + 1;
+        if busy > self.slots {
+            self.busy.fetch_sub(1, Ordering::SeqCst);
+            self.refused.fetch_add(1, Ordering::SeqCst);
+            return false;
+        }
+        self.most_busy.fetch_max(busy, Ordering::SeqCst);
+        true
+    }
+
+    fn free_slot(&self) {
+        self.busy.fetch_sub(1, Ordering::SeqCst);
+    }
+
+    fn effect(&self, path: &str, body: &[u8]) {
+        let row = EffectRow {
+            path: path.to_owned(),
+            body: String::from_utf8_lossy(body).into_owned(),
+            at_ms: now_ms(),
+        };
+        let mut effects = self.effects.lock().unwrap_or_else(PoisonError::into_inner);
+        effects.push(row);
+    }
+}
+
+/// Starts the runner.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub fn start_runner(
+    runner: SharedRunner,
+    listen: SocketAddr,
+) -> Result<HttpServer<SharedRunner>, Report> {
+    let mut api = ApiDescription::new();
+    let registered = api
+        .register(post_run)
+        .and_then(|()| api.register(get_health))
+        .and_then(|()| api.register(get_effects))
+        .and_then(|()| api.register(post_leave))
+        .and_then(|()| api.register(post_fault));
+    registered.map_err(|error| eyre!("interface: {error}"))?;
+    start_server(api, runner, listen)
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct RunPath {
+    path: Vec<String>,
+}
+
+#[derive(Deserialize, JsonSchema)]
+struct RunQuery {
+    #[serde(default)]
+    work_ms: u64,
+    #[serde(default)]
+    status: Option<u16>,
+}
+
+#[endpoint { method = POST, path = "/run/{path:.*}", unpublished = true }]
+async fn post_run(
+    request: RequestContext<SharedRunner>,
+    path: Path<RunPath>,
+    query: Query<RunQuery>,
+    body: StreamingBody,
+) -> HttpReply {
+    let runner = request.context();
+    let id = request.request.headers().get(REQUEST_ID_HEADER).cloned();
+    let mode = runner.fault.before().await;
+    if mode == FaultMode::Down {
+        return text_reply(500, "the runner fails".to_owned());
+    }
+    if runner.leaving.load(Ordering::SeqCst) {
+        return refusal(true);
+    }
+    if !runner.take_slot() {
+        return refusal(false);
+    }
+    let query = query.into_inner();
+    let bytes = read_body(body, BODY_MAX_BYTES).await;
+    tokio::time::sleep(Duration::from_millis(query.work_ms)).await;
+    let bytes = bytes.unwrap_or_default();
+    runner.effect(&path.into_inner().path.join("/"), &bytes);
+    runner.free_slot();
+    runner.fault.after(mode).await;
+    let mut builder = Response::builder()
+        .status(query.status.unwrap_or(200))
+        .header("content-type", "application/octet-stream");
+    if let Some(id) = id {
+        builder = match mode {
+            FaultMode::Cross => builder.header(REQUEST_ID_HEADER, "another"),
+            _ => builder.header(REQUEST_ID_HEADER, id),
+        };
+    }
+    if mode == FaultMode::Truncate {
+        builder = builder.header("content-length", bytes.len() + TRUNCATED_BYTES);
+    }
+    Ok(builder.body(Body::from(bytes))?)
+}
+
+fn refusal(leaving: bool) -> HttpReply {
+    let mut reply = text_reply(503, "refused\n".to_owned())?;
+    let headers = reply.headers_mut();
+    headers.insert(VERDICT_HEADER, http::HeaderValue::from_static("not-run"));
+    if leaving {
+        headers.insert(LEAVING_HEADER, http::HeaderValue::from_static("true"));
+    }
+    Ok(reply)
+}
+
+#[endpoint { method = GET, path = "/health" }]
+async fn get_health(request: RequestContext<SharedRunner>) -> HttpReply {
+    let runner = request.context();
+    runner.health_fault.before().await;
+    let mut reply = text_reply(200, "good\n".to_owned())?;
+    if let Some(id) = request.request.headers().get(REQUEST_ID_HEADER) {
+        reply.headers_mut().insert(REQUEST_ID_HEADER, id.clone());
+    }
+    Ok(reply)
+}
+
+#[endpoint { method = GET, path = "/effects" }]
+async fn get_effects(request: RequestContext<SharedRunner>) -> HttpReply {
+    json_reply(200, &request.context().effects())
+}
+
+#[endpoint { method = POST, path = "/leave" }]
+async fn post_leave(request: RequestContext<SharedRunner>) -> HttpReply {
+    request.context().leave();
+    text_reply(200, "leaving\n".to_owned())
+}
+
+#[endpoint { method = POST, path = "/fault" }]
+async fn post_fault(
+    request: RequestContext<SharedRunner>,
+    body: TypedBody<FaultSetting>,
+) -> HttpReply {
+    request.context().fault.set(body.into_inner());
+    text_reply(200, "set\n".to_owned())
+}
--- /dev/null
+++ b/standins/src/worker.rs
@@ -0,0 +1,367 @@
+//! A worker: prepares, runs and stops tasks under leases and fencing tokens.
+//!
+//! Commands: `run MS` ends well after MS of run time, `fail MS` ends with a fault.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use dropshot::{ApiDescription, HttpServer, RequestContext, TypedBody, endpoint};
+use eyre::{Report, eyre};
+use hemlockramp::daemons::http_reply::{HttpReply, json_reply, text_reply};
+use hemlockramp::wire::worker::{
+    SyncAnswer, SyncRequest, TaskOrder, TaskStatus, TaskWant, WorkerTaskState,
+};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use crate::fault::{FaultMode, FaultSetting, FaultSwitch};
+use crate::server::{now_ms, start_server};
+
+/// Time between two looks at leases and run times, in ms.
+const STEP_MS: u64 = 10;
+/// Run time of a command that cannot be read, in ms.
+const DEFAULT_RUN_MS: u64 = 100;
+
+/// One run of a task, for the tests' invariants.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct TaskRun {
+    /// The task.
+    pub task: String,
+    /// Its token.
+    pub token: u64,
+    /// Its accelerators.
+    pub accelerators: u8,
+    /// Start, Unix ms.
+    pub started_ms: u64,
+    /// End, Unix ms; none while it runs.
+    pub ended_ms: Option<u64>,
+    /// How it ended.
+    pub state: WorkerTaskState,
+}
+
+struct TaskEntry {
+    order: TaskOrder,
+    state: WorkerTaskState,
+    lease_until: Instant,
+    started: Option<Instant>,
+    stop_at: Option<Instant>,
+    ran_ms: u64,
+}
+
+impl TaskEntry {
+    fn is_over(&self) -> bool {
+        !matches!(
+            self.state,
+            WorkerTaskState::Prepared | WorkerTaskState::Running
+        )
+    }
+}
+
+#[derive(Default)]
+struct WorkerTables {
+    /// Newest entry of each task; ended ones are kept, so that a repeat cannot run again.
+    tasks: BTreeMap<String, TaskEntry>,
+    digest: Option<u64>,
+    ordered: Vec<String>,
+    runs: Vec<TaskRun>,
+    violations: Vec<String>,
+    syncs: u64,
+}
+
+/// The worker's state.
+#[derive(Default)]
+pub struct Worker {
+    tables: Mutex<WorkerTables>,
+    /// Fault of `/sync`.
+    pub fault: FaultSwitch,
+}
+
+/// The worker as its endpoints share it.
+pub type SharedWorker = Arc<Worker>;
+
+impl Worker {
+    fn lock(&self) -> MutexGuard<'_, WorkerTables> {
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns all runs so far.
+    pub fn runs(&self) -> Vec<TaskRun> {
+        self.lock().runs.clone()
+    }
+
+    /// Returns what should never have been asked of this worker.
+    pub fn violations(&self) -> Vec<String> {
+        self.lock().violations.clone()
+    }
+
+    /// Returns the number of messages taken.
+    pub fn syncs(&self) -> u64 {
+        self.lock().syncs
+    }
+
+    /// Forgets all tasks, as a restarted machine does; what ran ends.
+    pub fn restart(&self) {
+        let mut tables = self.lock();
+        let names: Vec<String> = tables.tasks.keys().cloned().collect();
+        for name in names {
+            tables.end(&name, WorkerTaskState::Stopped);
+        }
+        tables.tasks.clear();
+        tables.digest = None;
+    }
+
+    /// Ends lapsed leases and finished runs for ever.
+    pub async fn run(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(STEP_MS)).await;
+            self.lock().step(Instant::now());
+        }
+    }
+
+    fn sync(&self, request: &SyncRequest) -> SyncAnswer {
+        let mut tables = self.lock();
+        let now = Instant::now();
+        // A lapsed lease ends the task before any message can renew it.
+        tables.step(now);
+        tables.syncs += 1;
+        let lease_until = now + Duration::from_millis(request.lease_ms);
+        match &request.orders {
+            Some(orders) => tables.take_orders(request.digest, orders, lease_until, now),
+            None if tables.digest == Some(request.digest) => tables.renew(lease_until),
+            None => {
+                return SyncAnswer {
+                    renewed: false,
+                    tasks: Vec::new(),
+                };
+            }
+        }
+        let brief = request.orders.is_none();
+        SyncAnswer {
+            renewed: true,
+            tasks: tables.statuses(brief),
+        }
+    }
+}
+
+impl WorkerTables {
+    fn step(&mut self, now: Instant) {
+        let names: Vec<String> = self.tasks.keys().cloned().collect();
+        for name in names {
+            if let Some(state) = self.due_end(&name, now) {
+                self.end(&name, state);
+            }
+        }
+    }
+
+    fn due_end(&self, name: &str, now: Instant) -> Option<WorkerTaskState> {
+        let entry = self.tasks.get(name).filter(|entry| !entry.is_over())?;
+        if now >= entry.lease_until || entry.stop_at.is_some_and(|at| now >= at) {
+            return Some(WorkerTaskState::Stopped);
+        }
+        let ran = now - entry.started?;
+        let (run, fails) = command_of(&entry.order.command);
+        (ran >= run).then_some(match fails {
+            true => WorkerTaskState::Failed,
+            false => WorkerTaskState::Finished,
+        })
+    }
+
+    fn end(&mut self, name: &str, state: WorkerTaskState) {
+        let Some(entry) = self.tasks.get_mut(name).filter(|entry| !entry.is_over()) else {
+            return;
+        };
+        entry.state = state;
+        entry.ran_ms = entry
+            .started
+            .map_or(0, |at| at.elapsed().as_millis() as u64);
+        let token = entry.order.token;
+        let open = |run: &&mut TaskRun| run.task == name && run.token == token;
+        if let Some(run) = self.runs.iter_mut().rev().find(open) {
+            run.ended_ms = Some(now_ms());
+            run.state = state;
+        }
+    }
+
+    fn take_orders(
+        &mut self,
+        digest: u64,
+        orders: &[TaskOrder],
+        lease_until: Instant,
+        now: Instant,
+    ) {
+        for order in orders {
+            self.take_order(order, lease_until, now);
+        }
+        self.digest = Some(digest);
+        self.ordered = orders.iter().map(|order| order.task.clone()).collect();
+    }
+
+    fn take_order(&mut self, order: &TaskOrder, lease_until: Instant, now: Instant) {
+        let old = self.tasks.get(&order.task);
+        let old_token = old.map(|entry| entry.order.token);
+        if old_token.is_some_and(|token| token > order.token) {
+            return;
+        }
+        if old_token != Some(order.token) {
+            self.end(&order.task, WorkerTaskState::Stopped);
+            self.add(order, lease_until);
+        }
+        let Some(entry) = self.tasks.get_mut(&order.task) else {
+            return;
+        };
+        if entry.is_over() {
+            return;
+        }
+        entry.lease_until = lease_until;
+        match order.want {
+            TaskWant::Prepare => {}
+            TaskWant::Run if entry.stop_at.is_none() && entry.started.is_none() => {
+                self.start(&order.task, now);
+            }
+            TaskWant::Run => {}
+            TaskWant::Stop => {
+                let grace = Duration::from_millis(order.grace_ms);
+                entry.stop_at.get_or_insert(now + grace);
+                self.step(now);
+            }
+        }
+    }
+
+    /// Adds a task; only one that is to be prepared can ever run under this token.
+    fn add(&mut self, order: &TaskOrder, lease_until: Instant) {
+        let state = match order.want {
+            TaskWant::Prepare => WorkerTaskState::Prepared,
+            _ => WorkerTaskState::Stopped,
+        };
+        let entry = TaskEntry {
+            order: order.clone(),
+            state,
+            lease_until,
+            started: None,
+            stop_at: None,
+            ran_ms: 0,
+        };
+        self.tasks.insert(order.task.clone(), entry);
+    }
+
+    fn start(&mut self, name: &str, now: Instant) {
+        let Some(entry) = self.tasks.get_mut(name) else {
+            return;
+        };
+        entry.started = Some(now);
+        entry.state = WorkerTaskState::Running;
+        let order = entry.order.clone();
+        let clash = self
+            .runs
+            .iter()
+            .find(|run| run.ended_ms.is_none() && run.accelerators & order.accelerators != 0);
+        if let Some(run) = clash {
+            let text = format!("{name} started on accelerators of {}", run.task);
+            self.violations.push(text);
+        }
+        self.runs.push(TaskRun {
+            task: order.task,
+            token: order.token,
+            accelerators: order.accelerators,
+            started_ms: now_ms(),
+            ended_ms: None,
+            state: WorkerTaskState::Running,
+        });
+    }
+
+    fn renew(&mut self, lease_until: Instant) {
+        for name in &self.ordered {
+            if let Some(entry) = self.tasks.get_mut(name).filter(|entry| !entry.is_over()) {
+                entry.lease_until = lease_until;
+            }
+        }
+    }
+
+    fn statuses(&self, brief: bool) -> Vec<TaskStatus> {
+        let entries = self.ordered.iter().filter_map(|name| self.tasks.get(name));
+        let shown = entries.filter(|entry| !brief || entry.state != WorkerTaskState::Running);
+        shown
+            .map(|entry| TaskStatus {
+                task: entry.order.task.clone(),
+                token: entry.order.token,
+                state: entry.state,
+                ran_ms: entry.ran_ms,
+            })
+            .collect()
+    }
+}
+
+/// Returns run time and whether it ends with a fault.
+fn command_of(command: &str) -> (Duration, bool) {
+    let mut words = command.split_whitespace();
+    let fails = words.next() == Some("fail");
+    let ms = words.next().and_then(|word| word.parse().ok());
+    (Duration::from_millis(ms.unwrap_or(DEFAULT_RUN_MS)), fails)
+}
+
+/// Starts the worker.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub fn start_worker(
+    worker: SharedWorker,
+    listen: SocketAddr,
+) -> Result<HttpServer<SharedWorker>, Report> {
+    let mut api = ApiDescription::new();
+    let registered = api
+        .register(post_sync)
+        .and_then(|()| api.register(get_runs))
+        .and_then(|()| api.register(post_fault));
+    registered.map_err(|error| eyre!("interface: {error}"))?;
+    tokio::spawn(Arc::clone(&worker).run());
+    start_server(api, worker, listen)
+}
+
+#[endpoint { method = POST, path = "/sync" }]
+async fn post_sync(
+    request: RequestContext<SharedWorker>,
+    body: TypedBody<SyncRequest>,
+) -> HttpReply {
+    let worker = request.context();
+    let mode = worker.fault.before().await;
+    if mode == FaultMode::Down {
+        return text_reply(503, "the worker is down".to_owned());
+    }
+    let answer = worker.sync(&body.into_inner());
+    worker.fault.after(mode).await;
+    json_reply(200, &answer)
+}
+
+/// Answer of `GET /runs`.
+#[derive(Clone, Debug, Serialize, Deserialize, JsonSchema)]
+pub struct RunsAnswer {
+    /// All runs.
+    pub runs: Vec<TaskRun>,
+    /// What should never have been asked.
+    pub violations: Vec<String>,
+}
+
+#[endpoint { method = GET, path = "/runs" }]
+async fn get_runs(request: RequestContext<SharedWorker>) -> HttpReply {
+    let worker = request.context();
+    json_reply(
+        200,
+        &RunsAnswer {
+            runs: worker.runs(),
+            violations: worker.violations(),
+        },
+    )
+}
+
+#[endpoint { method = POST, path = "/fault" }]
+async fn post_fault(
+    request: RequestContext<SharedWorker>,
+    body: TypedBody<FaultSetting>,
+) -> HttpReply {
+    request.context().fault.set(body.into_inner());
+    text_reply(200, "set\n".to_owned())
+}
--- /dev/null
+++ b/tests/process_path.rs
@@ -0,0 +1,191 @@
+//! Both paths through separate processes, then with hosts killed midway.
+
+mod support;
+
+use serde_json::json;
+use standins::caller;
+use support::{StageBuilder, first_ticket, gang};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn both_paths_end_to_end() {
+    let stage = StageBuilder::new("both_paths").start().await;
+    stage
+        .post(0, "/tickets", &first_ticket())
+        .await
+        .expect("ticket 1");
+    let borrower = gang("borrower", "photos", 8, 8, "run 20000");
+    stage.post(0, "/jobs", &borrower).await.expect("borrower");
+    stage
+        .wait_job(1, "borrower", "running")
+        .await
+        .expect("borrower runs");
+    let claimer = gang("claimer", "restock", 32, 1, "run 200");
+    stage.post(1, "/jobs", &claimer).await.expect("claimer");
+    stage
+        .wait_job(0, "claimer", "finished")
+        .await
+        .expect("claimer ends");
+    let report = stage.get_text(0, "/report").await.expect("report");
+    assert!(report.contains("restock"), "{report}");
+
+    let gateway = stage.entries[0].gateway_address;
+    let free = ["hemlockramp-idempotent: true"];
+    let answer = caller::post(gateway, "/requests/photos/slots", &free, "a").await;
+    assert_eq!(answer.expect("idempotent").body, "a");
+    let keyed = ["idempotency-key: k1"];
+    let answer = caller::post(gateway, "/requests/photos/book", &keyed, "b").await;
+    assert_eq!(answer.expect("keyed").body, "b");
+    assert_eq!(stage.violations(), Vec::<String>::new());
+    stage.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_of_two_hosts_killed_midway() {
+    let mut stage = StageBuilder::new("killed_midway").start().await;
+    stage
+        .post(0, "/tickets", &first_ticket())
+        .await
+        .expect("ticket 1");
+    for index in 0..4 {
+        let job = gang(&format!("job{index}"), "photos", 8, 2, "run 2000");
+        stage.post(0, "/jobs", &job).await.expect("job");
+    }
+    stage
+        .wait_job(1, "job0", "running")
+        .await
+        .expect("job0 runs");
+    let keyed = ["idempotency-key: k1"];
+    let first = caller::post(
+        stage.entries[0].gateway_address,
+        "/requests/photos/book",
+        &keyed,
+        "b",
+    );
+    assert_eq!(first.await.expect("first").status, 200);
+
+    stage.kill_scheduler(0);
+    stage.kill_gateway(0);
+    for index in 0..4 {
+        let id = format!("job{index}");
+        stage.wait_job(1, &id, "finished").await.expect("job ends");
+        let job = stage.get(1, &format!("/jobs/{id}")).await.expect("job");
+        assert_eq!(job["attempts"], 1, "a killed host costs no attempt: {job}");
+    }
+    let again = caller::post(
+        stage.entries[1].gateway_address,
+        "/requests/photos/book",
+        &keyed,
+        "b",
+    );
+    // The first answer may have died with its host before it was recorded.
+    let again = again.await.expect("again");
+    let known = again.status == 200 && again.body == "b";
+    let unsure = again.status == 409 && again.verdict == "may-have-run";
+    assert!(known || unsure, "{again:?}");
+    let effects = stage
+        .runners
+        .iter()
+        .flat_map(|(runner, _)| runner.effects());
+    assert_eq!(effects.count(), 1, "the keyed request ran once");
+    assert_eq!(stage.violations(), Vec::<String>::new());
+    stage.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_is_refused_and_leaves_nothing() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        body: String,
+        status: u16,
+    }
+    let stage = StageBuilder::new("bad_input").hosts(1).start().await;
+    stage
+        .post(0, "/tickets", &first_ticket())
+        .await
+        .expect("ticket 1");
+    let known = gang("known", "photos", 1, 1, "run 60000");
+    stage.post(0, "/jobs", &known).await.expect("known");
+    let mut changed = known.clone();
+    changed["count"] = json!(2);
+    let mut unknown_team = known.clone();
+    unknown_team["team"] = json!("nobody");
+    unknown_team["id"] = json!("other");
+    let cases = [
+        Case {
+            name: "malformed",
+            path: "/jobs",
+            body: "{".to_owned(),
+            status: 400,
+        },
+        Case {
+            name: "unknown key",
+            path: "/jobs",
+            body: r#"{"idd":1}"#.to_owned(),
+            status: 400,
+        },
+        Case {
+            name: "oversized",
+            path: "/jobs",
+            body: "x".repeat(2_000_000),
+            status: 413,
+        },
+        Case {
+            name: "unknown team",
+            path: "/jobs",
+            body: unknown_team.to_string(),
+            status: 422,
+        },
+        Case {
+            name: "duplicate id",
+            path: "/jobs",
+            body: changed.to_string(),
+            status: 409,
+        },
+        Case {
+            name: "impossible shape",
+            path: "/jobs",
+            body: gang("odd", "photos", 3, 1, "run 1").to_string(),
+            status: 400,
+        },
+        Case {
+            name: "above quota",
+            path: "/jobs",
+            body: gang("big", "photos", 128, 1, "run 1").to_string(),
+            status: 422,
+        },
+        Case {
+            name: "ticket number taken",
+            path: "/tickets",
+            body: json!({ "number": 1, "author": "other", "teams": [] }).to_string(),
+            status: 409,
+        },
+        Case {
+            name: "neither key nor idempotent",
+            path: "/requests/photos/x",
+            body: String::new(),
+            status: 400,
+        },
+    ];
+    let before = stage.log.dump("hemlockramp-journal").len();
+    let gateway = stage.entries[0].gateway_address;
+    for case in cases {
+        let answer = caller::post(gateway, case.path, &[], &case.body).await;
+        let answer = answer.expect(case.name);
+        assert_eq!(answer.status, case.status, "{}: {}", case.name, answer.body);
+        assert_eq!(answer.verdict, "not-run", "{}", case.name);
+    }
+    let records = stage.log.dump("hemlockramp-journal");
+    let submits = records[before..]
+        .iter()
+        .filter(|record| record.text.contains("\"submit\""));
+    // The duplicate reaches the fold, which refuses it.
+    assert!(submits.count() <= 1);
+    for id in ["other", "odd", "big"] {
+        assert!(
+            stage.get(0, &format!("/jobs/{id}")).await.is_err(),
+            "{id} is not recorded"
+        );
+    }
+    stage.close().await;
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,86 @@
+//! Builders that the tests share.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use standins::stage::{DaemonCommand, Stage, StagePlan};
+
+/// Builds a stage from the daemons of this build.
+pub struct StageBuilder {
+    plan: StagePlan,
+}
+
+impl StageBuilder {
+    /// Starts from two entry hosts, eight workers and two runners.
+    pub fn new(name: &str) -> Self {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        // Logs of an earlier run would mislead.
+        let _ = std::fs::remove_dir_all(&folder);
+        Self {
+            plan: StagePlan {
+                scheduler: program(env!("CARGO_BIN_EXE_hemlockramp-scheduler")),
+                gateway: program(env!("CARGO_BIN_EXE_hemlockramp-gateway")),
+                hosts: 2,
+                workers: 8,
+                runners: 2,
+                timing: json!({}),
+                requests: json!({}),
+                list_lag: Duration::from_millis(300),
+                folder,
+            },
+        }
+    }
+
+    pub fn hosts(mut self, hosts: usize) -> Self {
+        self.plan.hosts = hosts;
+        self
+    }
+
+    pub fn workers(mut self, workers: usize) -> Self {
+        self.plan.workers = workers;
+        self
+    }
+
+    pub fn timing(mut self, timing: Value) -> Self {
+        self.plan.timing = timing;
+        self
+    }
+
+    pub fn requests(mut self, requests: Value) -> Self {
+        self.plan.requests = requests;
+        self
+    }
+
+    pub async fn start(self) -> Stage {
+        Stage::start(self.plan).await.expect("the stage starts")
+    }
+}
+
+fn program(path: &str) -> DaemonCommand {
+    DaemonCommand {
+        words: vec![path.into()],
+    }
+}
+
+/// A job of `count` shapes.
+pub fn gang(id: &str, team: &str, shape: u32, count: u32, command: &str) -> Value {
+    json!({
+        "id": id, "team": team, "shape": shape, "count": count,
+        "declared_ms": 1_000, "command": command,
+    })
+}
+
+/// Ticket 1 with one team that holds a guarantee and one that borrows.
+pub fn first_ticket() -> Value {
+    json!({
+        "number": 1, "author": "operator",
+        "teams": [
+            { "team": "restock", "quota_accelerators": 64,
+              "guarantees": [{ "domain": "d0", "shape": 32, "count": 1 }] },
+            { "team": "photos", "quota_accelerators": 64 },
+        ],
+    })
+}
