Hold renewals back until news, and let log time move on by itself

Cause 1: a finish or a stop was learnt only at the next renewal, up to 2500 ms later. A renewal now names the version of states it has seen, and the worker holds its answer back until there is a newer one. Ruled out: shorter renewals, which cost bytes in proportion.

Cause 2, found by a property test that failed first (every job ends once the faults stop): quarantine ended by the log's time, which stood still when no record was appended, so an idle cluster kept two workers quarantined for ever and large gangs waited. The planner now takes the log's time to move on between records. Ruled out: the cap on quarantine (it held) and reservations.

Also a gang that no domain can hold was not rejected when a smaller one had failed to fit first; the check now comes before the search.

--- a/src/daemons/keeper.rs
+++ b/src/daemons/keeper.rs
@@ -32,8 +32,12 @@
     heard: Instant,
     /// When it was last sent anything.
     sent: Option<Instant>,
-    /// Whether an answer is awaited.
-    busy: bool,
+    /// Whether an answer to orders is awaited.
+    ordering: bool,
+    /// Whether an answer to a renewal is awaited; the worker may hold it back.
+    polling: bool,
+    /// Version of the worker's states that was taken up; 0 for none.
+    seen: u64,
     /// Whether the last message had no answer.
     failed: bool,
     /// Digest of the orders it confirmed.
@@ -57,6 +61,8 @@
 struct KeeperAnswer {
     slot: WorkerSlot,
     digest: u64,
+    /// Whether orders were sent, rather than a mere renewal.
+    ordered: bool,
     answer: Result<SyncAnswer, CallFailure>,
 }
 
@@ -138,7 +144,8 @@
 
     /// Records changes of the workers that this host keeps or should keep.
     fn report_topology(&mut self, live: &[ObjectName]) {
-        if is_open(&mut self.topology) {
+        take_outcome(&mut self.topology);
+        if self.topology.is_some() {
             return;
         }
         let Some(roster) = self.context.hosts.roster() else {
@@ -168,18 +175,20 @@
     }
 
     fn keep(&mut self, index: usize) {
-        let timing = &self.context.settings.timing;
-        let row = &mut self.rows[index];
-        if is_open(&mut row.pending) {
-            return;
+        // Leases are renewed whether or not the log settles the last reports.
+        if !self.await_reports(index) {
+            self.report_lost(index);
+            self.release_lost(index);
         }
-        let orders = self.orders.for_worker(row.slot);
-        if row.heard.elapsed() > timing.lost_after {
-            let reports = lost_reports(orders);
+        self.send_if_due(index);
+    }
+
+    fn report_lost(&mut self, index: usize) {
+        let row = &self.rows[index];
+        if row.heard.elapsed() > self.context.settings.timing.lost_after {
+            let reports = lost_reports(self.orders.for_worker(row.slot));
             self.append_reports(index, reports);
         }
-        self.release_lost(index);
-        self.send_if_due(index);
     }
 
     /// Releases lost tasks once no host can be renewing their leases any more.
@@ -239,7 +248,11 @@
         let orders = self.orders.for_worker(row.slot);
         let digest = digest_of(orders);
         let changed = row.confirmed != Some(digest);
-        if row.busy || !is_due(row, timing, changed && !orders.is_empty()) {
+        let busy = match changed {
+            true => row.ordering,
+            false => row.ordering || row.polling,
+        };
+        if busy || !is_due(row, timing, changed) {
             return;
         }
         let sent: Vec<_> = orders.iter().map(|order| order.order.clone()).collect();
@@ -247,6 +260,11 @@
             lease_ms: timing.lease.as_millis() as u64,
             digest,
             orders: changed.then_some(sent),
+            seen: row.seen,
+            wait_ms: match changed {
+                true => 0,
+                false => timing.renew.as_millis() as u64,
+            },
         };
         self.send(index, request);
     }
@@ -262,22 +280,27 @@
             .map(|worker| worker.address);
         let Some(address) = address else { return };
         let row = &mut self.rows[index];
-        row.busy = true;
+        let ordered = request.orders.is_some();
+        match ordered {
+            true => row.ordering = true,
+            false => row.polling = true,
+        }
         row.sent = Some(Instant::now());
         let client = self.context.client.clone();
-        let limit = self.context.settings.timing.worker_timeout;
+        let held = Duration::from_millis(request.wait_ms);
+        let limit = self.context.settings.timing.worker_timeout + held;
         let answers = self.answers.clone();
         tokio::spawn(async move {
             let url = format!("http://{address}/sync");
             let digest = request.digest;
             let answer = client.post(&url, &request, limit).await;
-            let _ = answers
-                .send(KeeperAnswer {
-                    slot,
-                    digest,
-                    answer,
-                })
-                .await;
+            let taken = KeeperAnswer {
+                slot,
+                digest,
+                ordered,
+                answer,
+            };
+            let _ = answers.send(taken).await;
         });
     }
 
@@ -286,7 +309,10 @@
             return;
         };
         let row = &mut self.rows[index];
-        row.busy = false;
+        match taken.ordered {
+            true => row.ordering = false,
+            false => row.polling = false,
+        }
         let answer = match taken.answer {
             Ok(answer) => answer,
             Err(failure) => {
@@ -298,15 +324,29 @@
         };
         row.failed = false;
         row.heard = Instant::now();
-        row.confirmed = answer.renewed.then_some(taken.digest);
-        if is_open(&mut row.pending) {
+        row.seen = answer.version;
+        if taken.ordered || !answer.renewed {
+            row.confirmed = answer.renewed.then_some(taken.digest);
+        }
+        if row.pending.is_some() {
             // The next answer tells the same again.
-            row.confirmed = None;
+            row.seen = 0;
             return;
         }
         let reports = reports_of(self.orders.for_worker(taken.slot), &answer.tasks);
         self.append_reports(index, reports);
     }
+
+    /// Takes up what became of the last reports; returns whether the log is still awaited.
+    fn await_reports(&mut self, index: usize) -> bool {
+        let row = &mut self.rows[index];
+        let outcome = take_outcome(&mut row.pending);
+        if matches!(outcome, Some(AppendOutcome::NotAppended(_))) {
+            // Ask the worker for the same once more, at the pace of the renewals.
+            row.seen = 0;
+        }
+        row.pending.is_some()
+    }
 }
 
 impl KeeperRow {
@@ -316,7 +356,9 @@
             name,
             heard: Instant::now(),
             sent: None,
-            busy: false,
+            ordering: false,
+            polling: false,
+            seen: 0,
             failed: false,
             confirmed: None,
             lost: None,
@@ -332,23 +374,24 @@
         (true, false) => Duration::ZERO,
         // A worker that does not answer is asked again at the pace of its time-out.
         (true, true) => timing.worker_timeout.min(timing.renew),
-        (false, _) => timing.renew,
+        // The answer to a renewal is held back, so this only bounds a busy worker.
+        (false, _) => match row.seen {
+            0 => timing.renew,
+            _ => timing.tick,
+        },
     };
     idle >= pause
 }
 
-/// Returns whether an append is not yet settled; forgets one that is.
-fn is_open(pending: &mut Option<oneshot::Receiver<AppendOutcome>>) -> bool {
-    let Some(receiver) = pending else {
-        return false;
+/// Returns a settled append's outcome and forgets it; none while it is open.
+fn take_outcome(pending: &mut Option<oneshot::Receiver<AppendOutcome>>) -> Option<AppendOutcome> {
+    let outcome = match pending.as_mut()?.try_recv() {
+        Ok(outcome) => outcome,
+        Err(oneshot::error::TryRecvError::Empty) => return None,
+        Err(oneshot::error::TryRecvError::Closed) => AppendOutcome::Unknown,
     };
-    match receiver.try_recv() {
-        Err(oneshot::error::TryRecvError::Empty) => true,
-        _ => {
-            *pending = None;
-            false
-        }
-    }
+    *pending = None;
+    Some(outcome)
 }
 
 fn digest_of(orders: &[OrderRow]) -> u64 {
--- a/src/daemons/planner.rs
+++ b/src/daemons/planner.rs
@@ -28,8 +28,9 @@
 async fn plan_once(context: &SharedContext) {
     let started = Instant::now();
     let records = {
+        let now_ms = context.view.log_now_ms();
         let state = context.view.state();
-        plan(&state, &context.settings.raw.policy).records
+        plan(&state, now_ms, &context.settings.raw.policy).records
     };
     metrics::histogram!("hemlockramp_plan_seconds").record(started.elapsed().as_secs_f64());
     if !records.is_empty() {
--- a/src/daemons/snapshotter.rs
+++ b/src/daemons/snapshotter.rs
@@ -31,11 +31,13 @@
 }
 
 fn is_due(context: &SharedContext) -> bool {
+    let now_ms = context.view.log_now_ms();
     let state = context.view.state();
     let records = state.next_offset.saturating_sub(state.snapshot_covers);
-    let age_ms = state.now_ms.saturating_sub(state.snapshot_ms);
+    let age_ms = now_ms.saturating_sub(state.snapshot_ms);
     let timing = &context.settings.timing;
-    let aged = records > 1 && u128::from(age_ms) >= timing.snapshot_every.as_millis();
+    // Also without news: the last snapshot itself expires.
+    let aged = records > 0 && u128::from(age_ms) >= timing.snapshot_every.as_millis();
     records >= timing.snapshot_every_records || aged
 }
 
--- a/src/journal/tail.rs
+++ b/src/journal/tail.rs
@@ -42,6 +42,8 @@
     version: watch::Sender<u64>,
     /// When the log last answered a read.
     heard: watch::Sender<Option<Instant>>,
+    /// When the newest record was folded.
+    folded: watch::Sender<Instant>,
 }
 
 impl Default for JournalView {
@@ -52,6 +54,7 @@
                 status: watch::Sender::new(TailStatus::Starting),
                 version: watch::Sender::new(0),
                 heard: watch::Sender::new(None),
+                folded: watch::Sender::new(Instant::now()),
             }),
         }
     }
@@ -80,6 +83,13 @@
         heard.map(|at| at.elapsed())
     }
 
+    /// Returns the log's time now, in ms, as far as is known: that of the newest record
+    /// and what has passed since it was folded.
+    pub fn log_now_ms(&self) -> u64 {
+        let since = self.inner.folded.borrow().elapsed();
+        self.state().now_ms + since.as_millis() as u64
+    }
+
     fn replace(&self, state: FoldState) {
         let locked = self.inner.state.write();
         *locked.unwrap_or_else(PoisonError::into_inner) = state;
@@ -89,6 +99,7 @@
     fn fold(&self, records: &[PlacedRecord], mut settle: impl FnMut(&FoldStep)) {
         let locked = self.inner.state.write();
         let mut state = locked.unwrap_or_else(PoisonError::into_inner);
+        self.inner.folded.send_replace(Instant::now());
         let steps: Vec<FoldStep> = records.iter().map(|record| state.apply(record)).collect();
         drop(state);
         self.inner.version.send_modify(|version| *version += 1);
--- a/src/settings/scheduler.rs
+++ b/src/settings/scheduler.rs
@@ -140,6 +140,12 @@
             raw.renew_ms,
             raw.lease_ms / 3
         );
+        let answered_ms = raw.renew_ms.saturating_add(raw.worker_timeout_ms);
+        ensure!(
+            answered_ms <= raw.lost_after_ms,
+            "key timing.lost_after_ms: {}; allowed is at least renew_ms + worker_timeout_ms, {answered_ms}",
+            raw.lost_after_ms
+        );
         let ms = |key: &str, value, range| checked_ms(&format!("timing.{key}"), value, range);
         Ok(Self {
             append_interval: ms("append_interval_ms", raw.append_interval_ms, 1..=1_000)?,
--- a/src/systems/mod.rs
+++ b/src/systems/mod.rs
@@ -1,6 +1,7 @@
 //! Systems: pure functions that run over the tables each tick and return records.
 
 pub mod borrow;
+pub mod capacity;
 pub mod claim;
 pub mod keep;
 pub mod order;
--- a/src/systems/plan.rs
+++ b/src/systems/plan.rs
@@ -3,7 +3,8 @@
 use crate::journal::fold::PlacedRecord;
 use crate::journal::record::{JournalRecord, PlaceRecord, RecordBody, RecordId, RejectRecord};
 use crate::journal::state::FoldState;
-use crate::systems::borrow::{ReservationTable, choose_borrowed, domains_for, reserve_cells};
+use crate::systems::borrow::{ReservationTable, choose_borrowed, reserve_cells};
+use crate::systems::capacity::CapacityTable;
 use crate::systems::claim::choose_guaranteed;
 use crate::systems::order::order_waiting;
 use crate::systems::policy::PolicySettings;
@@ -11,8 +12,6 @@
 use crate::tables::job::{JobRow, JobSpec};
 use crate::tables::key::KeyTable;
 use crate::tables::name::ObjectName;
-use crate::tables::rack::RackRow;
-use crate::tables::worker::WorkerState;
 
 /// Most reservations at once.
 const RESERVATIONS_MAX: usize = 4;
@@ -36,23 +35,25 @@
 }
 
 /// Returns the records that place, reject or give another try, for the state as folded.
-pub fn plan(state: &FoldState, policy: &PolicySettings) -> PlanResult {
+///
+/// `now_ms` is the log's time now: it moves on even when no record is appended.
+pub fn plan(state: &FoldState, now_ms: u64, policy: &PolicySettings) -> PlanResult {
     let mut result = PlanResult {
-        records: probations(state),
+        records: probations(state, now_ms),
         searched: 0,
     };
     if state.jobs.waiting().next().is_some() {
-        Planner::new(state, policy).run(&mut result);
+        Planner::new(state, now_ms, policy).run(&mut result);
     }
     result
 }
 
-fn probations(state: &FoldState) -> Vec<RecordBody> {
+fn probations(state: &FoldState, now_ms: u64) -> Vec<RecordBody> {
     let quarantined = state
         .racks
         .workers()
         .filter(|(_, worker)| worker.quarantined);
-    let over = quarantined.filter(|(_, worker)| worker.quarantine_until_ms <= state.now_ms);
+    let over = quarantined.filter(|(_, worker)| worker.quarantine_until_ms <= now_ms);
     over.map(|(slot, _)| RecordBody::Probation(slot)).collect()
 }
 
@@ -60,6 +61,7 @@
     /// A copy on which the plan's own records are folded.
     scratch: FoldState,
     policy: &'a PolicySettings,
+    capacity: CapacityTable,
     reserved: ReservationTable,
     failed: Vec<FailedSearch>,
     placed: usize,
@@ -67,13 +69,15 @@
 }
 
 impl<'a> Planner<'a> {
-    fn new(state: &FoldState, policy: &'a PolicySettings) -> Self {
+    fn new(state: &FoldState, now_ms: u64, policy: &'a PolicySettings) -> Self {
         let scratch = FoldState {
             audit: AuditTable::default(),
             keys: KeyTable::default(),
+            now_ms: now_ms.max(state.now_ms),
             ..state.clone()
         };
         Self {
+            capacity: CapacityTable::new(state),
             scratch,
             policy,
             reserved: ReservationTable::default(),
@@ -99,6 +103,11 @@
         if self.is_over_quota(&job.spec) {
             return;
         }
+        if let Some(reason) = self.never_fits(job) {
+            let job = job.spec.id.clone();
+            self.accept(RecordBody::Reject(RejectRecord { job, reason }), result);
+            return;
+        }
         let known_to_fail = self.has_failed(&job.spec, true) && self.has_failed(&job.spec, false);
         if known_to_fail {
             self.reserve(job);
@@ -107,9 +116,6 @@
         result.searched += 1;
         if let Some(place) = self.search(job) {
             self.accept(RecordBody::Place(place), result);
-        } else if let Some(reason) = self.never_fits(job) {
-            let job = job.spec.id.clone();
-            self.accept(RecordBody::Reject(RejectRecord { job, reason }), result);
         } else {
             self.reserve(job);
         }
@@ -203,40 +209,14 @@
         }
     }
 
-    /// Returns why no failure domain could ever hold the gang, if none could.
+    /// Returns why the gang can never run, once the topology had time to be known.
     fn never_fits(&self, job: &JobRow) -> Option<String> {
         let waited_ms = self.scratch.now_ms.saturating_sub(job.submitted_ms);
-        let known = !self.scratch.racks.rows.is_empty();
-        if !known || waited_ms < self.policy.reject_after_ms {
+        if waited_ms < self.policy.reject_after_ms {
             return None;
         }
-        let domains = domains_for(&self.scratch, &job.spec);
-        let whole = |domain: &ObjectName| {
-            let racks = &self.scratch.racks;
-            racks.list_cells(domain, job.spec.shape, whole_rack).len()
-        };
-        let most = domains.iter().map(whole).max().unwrap_or(0);
-        (most < job.spec.count as usize).then(|| {
-            format!(
-                "no failure domain has {} shapes of {} accelerators; the most is {most}",
-                job.spec.count,
-                job.spec.shape.accelerators()
-            )
-        })
-    }
-}
-
-/// Returns the accelerators of all workers that are there, healthy or not.
-fn whole_rack(row: &RackRow) -> u128 {
-    let mut whole = row.clone();
-    for worker in whole.workers.iter_mut().flatten() {
-        if worker.state != WorkerState::Gone {
-            worker.state = WorkerState::Live;
-            worker.quarantined = false;
-        }
+        self.capacity.never_fits(&self.scratch, &job.spec)
     }
-    whole.refresh_usable();
-    whole.usable
 }
 
 fn planner_name() -> ObjectName {
--- a/src/wire/worker.rs
+++ b/src/wire/worker.rs
@@ -42,6 +42,13 @@
     /// All orders for this worker; absent when only a renewal is meant.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub orders: Option<Vec<TaskOrder>>,
+    /// Version of the states that the keeper has seen; 0 for none.
+    #[serde(default)]
+    pub seen: u64,
+    /// Longest time the answer may be held back while nothing is newer than `seen` and
+    /// the digest stays the same, in ms. The leases are renewed on receipt.
+    #[serde(default)]
+    pub wait_ms: u64,
 }
 
 /// How the worker sees a task.
@@ -79,6 +86,8 @@
 pub struct SyncAnswer {
     /// Whether the digest matched, so that all leases were renewed.
     pub renewed: bool,
+    /// Version of the states, above 0; it changes with each change of a task's state.
+    pub version: u64,
     /// States of the tasks with an order; running ones are left out of a mere renewal.
     #[serde(default)]
     pub tasks: Vec<TaskStatus>,
--- a/standins/src/worker.rs
+++ b/standins/src/worker.rs
@@ -65,6 +65,8 @@
     /// Newest entry of each task; ended ones are kept, so that a repeat cannot run again.
     tasks: BTreeMap<String, TaskEntry>,
     digest: Option<u64>,
+    /// Counts changes of any task's state.
+    version: u64,
     ordered: Vec<String>,
     runs: Vec<TaskRun>,
     violations: Vec<String>,
@@ -134,6 +136,7 @@
             None => {
                 return SyncAnswer {
                     renewed: false,
+                    version: tables.version + 1,
                     tasks: Vec::new(),
                 };
             }
@@ -141,9 +144,33 @@
         let brief = request.orders.is_none();
         SyncAnswer {
             renewed: true,
+            version: tables.version + 1,
             tasks: tables.statuses(brief),
         }
     }
+
+    /// Returns the states without renewing anything.
+    fn show(&self, request: &SyncRequest) -> SyncAnswer {
+        let tables = self.lock();
+        SyncAnswer {
+            renewed: tables.digest == Some(request.digest),
+            version: tables.version + 1,
+            tasks: tables.statuses(request.orders.is_none()),
+        }
+    }
+
+    /// Holds an answer back until something is newer than the keeper has seen.
+    async fn hold(&self, request: &SyncRequest) {
+        let until = Instant::now() + Duration::from_millis(request.wait_ms);
+        while Instant::now() < until && self.is_unchanged(request) {
+            tokio::time::sleep(Duration::from_millis(STEP_MS)).await;
+        }
+    }
+
+    fn is_unchanged(&self, request: &SyncRequest) -> bool {
+        let tables = self.lock();
+        tables.version + 1 == request.seen && tables.digest == Some(request.digest)
+    }
 }
 
 impl WorkerTables {
@@ -173,6 +200,7 @@
         let Some(entry) = self.tasks.get_mut(name).filter(|entry| !entry.is_over()) else {
             return;
         };
+        self.version += 1;
         entry.state = state;
         entry.ran_ms = entry
             .started
@@ -244,6 +272,7 @@
             stop_at: None,
             ran_ms: 0,
         };
+        self.version += 1;
         self.tasks.insert(order.task.clone(), entry);
     }
 
@@ -251,6 +280,7 @@
         let Some(entry) = self.tasks.get_mut(name) else {
             return;
         };
+        self.version += 1;
         entry.started = Some(now);
         entry.state = WorkerTaskState::Running;
         let order = entry.order.clone();
@@ -331,7 +361,12 @@
     if mode == FaultMode::Down {
         return text_reply(503, "the worker is down".to_owned());
     }
-    let answer = worker.sync(&body.into_inner());
+    let request = body.into_inner();
+    let mut answer = worker.sync(&request);
+    if answer.renewed && request.wait_ms > 0 {
+        worker.hold(&request).await;
+        answer = worker.show(&request);
+    }
     worker.fault.after(mode).await;
     json_reply(200, &answer)
 }
--- /dev/null
+++ b/tests/fold_placement.rs
@@ -0,0 +1,277 @@
+//! Placement and guarantees: random runs against invariants and an exhaustive packer.
+
+mod support;
+
+use hemlockramp::journal::fold::FoldVerdict;
+use hemlockramp::journal::record::RecordBody;
+use hemlockramp::journal::state::FoldState;
+use hemlockramp::systems::claim::choose_guaranteed;
+use hemlockramp::tables::cell::{CellSpan, LevelCounts};
+use hemlockramp::tables::job::JobRow;
+use hemlockramp::tables::worker::WorkerState;
+use quickcheck::{Gen, QuickCheck};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use support::fold::{FoldBench, check_invariants, job, name, shape, team};
+
+/// Seed of every property here.
+const SEED: u64 = 0x6865_6d6c;
+/// Runs of a property.
+const RUNS: u64 = 120;
+/// Steps of one run.
+const STEPS: usize = 60;
+
+fn check(property: fn(u64) -> bool) {
+    println!("seed {SEED:#x}");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(64, SEED))
+        .tests(RUNS)
+        .quickcheck(property as fn(u64) -> bool);
+}
+
+/// Takes one random step.
+fn random_step(bench: &mut FoldBench, random: &mut ChaCha8Rng, step: usize) {
+    bench.now_ms += random.random_range(1..30_000);
+    match random.random_range(0..10) {
+        0..=3 => {
+            let teams = ["red", "green", "blue"];
+            let owner = teams[random.random_range(0..teams.len())];
+            let sizes = [1, 2, 4, 8, 16, 32];
+            let size = sizes[random.random_range(0..sizes.len())];
+            let count = random.random_range(1..4);
+            let mut spec = job(&format!("j{step}"), owner, size, count);
+            spec.urgent = random.random_ratio(1, 8);
+            bench.submit(spec);
+        }
+        4 => {
+            let id = format!("j{}", random.random_range(0..=step));
+            bench.cancel(&[&id]);
+        }
+        5 => {
+            let state = match random.random_range(0..3) {
+                0 => WorkerState::Down,
+                1 => WorkerState::Leaving,
+                _ => WorkerState::Live,
+            };
+            bench.set_worker(random.random_range(0..8), state);
+        }
+        6 => {
+            let count = random.random_range(0..4);
+            let guarantees = [(8, count), (16, random.random_range(0..2))];
+            bench.ticket(100 + step as u64, vec![team("green", &guarantees)]);
+        }
+        _ => {}
+    }
+    if random.random_bool(0.7) {
+        bench.plan();
+    }
+    let fail = random.random_range(0..6);
+    bench.work(random, 0.7, 0.3, fail);
+}
+
+fn three_teams() -> FoldBench {
+    let mut bench = FoldBench::new(2);
+    let teams = vec![
+        team("red", &[(16, 1)]),
+        team("green", &[(8, 2)]),
+        team("blue", &[]),
+    ];
+    assert_eq!(bench.ticket(1, teams), FoldVerdict::Accepted);
+    bench
+}
+
+#[test]
+fn random_runs_keep_the_invariants() {
+    fn property(seed: u64) -> bool {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut bench = three_teams();
+        for step in 0..STEPS {
+            random_step(&mut bench, &mut random, step);
+            check_invariants(&bench.state);
+        }
+        true
+    }
+    check(property);
+}
+
+/// Claims every unclaimed guaranteed cell of all teams at once, on a copy.
+fn claim_everything(bench: &FoldBench) -> Result<(), String> {
+    let mut bench = bench.clone();
+    let teams = bench.state.teams.rows.clone();
+    let mut round = 0;
+    for row in &teams {
+        for held in &row.spec.guarantees {
+            let bound = bench
+                .state
+                .count_bound(&row.spec.team, &held.domain, held.shape);
+            for _ in bound..held.count {
+                round += 1;
+                let id = format!("claim{round}");
+                let mut spec = job(&id, row.spec.team.as_str(), held.shape.accelerators(), 1);
+                spec.domain = Some(held.domain.clone());
+                bench.submit(spec.clone());
+                let row = JobRow::new(spec, 0);
+                let place = choose_guaranteed(&bench.state, &row);
+                let place = place.ok_or_else(|| format!("no cell for {id}"))?;
+                let verdict = bench.push(RecordBody::Place(place));
+                if verdict != FoldVerdict::Accepted {
+                    return Err(format!("{id}: {verdict:?}"));
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn guaranteed_shapes_can_be_reclaimed_by_all_teams_at_once() {
+    fn property(seed: u64) -> bool {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut bench = three_teams();
+        for step in 0..STEPS {
+            random_step(&mut bench, &mut random, step);
+            // With workers lost the guarantee shrinks openly.
+            if bench.state.shortage(&name("d0")) == 0 {
+                claim_everything(&bench).expect("all guarantees can be claimed");
+            }
+        }
+        true
+    }
+    check(property);
+}
+
+#[test]
+fn without_losses_no_guarantee_is_ever_short() {
+    fn property(seed: u64) -> bool {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut bench = three_teams();
+        for step in 0..STEPS {
+            random_step(&mut bench, &mut random, step);
+            for index in 0..8 {
+                bench.set_worker(index, WorkerState::Live);
+            }
+            let healthy = bench
+                .state
+                .racks
+                .workers()
+                .all(|(_, worker)| worker.takes_work());
+            let short = bench.state.short_guarantees();
+            assert!(!healthy || short.is_empty(), "{short:?}");
+        }
+        true
+    }
+    check(property);
+}
+
+/// Packs cells one by one in every possible way.
+fn packs(free: &mut Vec<u128>, wanted: &[u32]) -> bool {
+    let Some((size, rest)) = wanted.split_first() else {
+        return true;
+    };
+    for rack in 0..free.len() {
+        for first in (0..128).step_by(*size as usize) {
+            let span = CellSpan {
+                rack: rack as u32,
+                first: first as u8,
+                shape: shape(*size),
+            };
+            if free[rack] & span.mask() == span.mask() {
+                free[rack] &= !span.mask();
+                let fits = packs(free, rest);
+                free[rack] |= span.mask();
+                if fits {
+                    return true;
+                }
+            }
+        }
+    }
+    false
+}
+
+#[test]
+fn counting_cells_equals_an_exhaustive_packer() {
+    fn property(seed: u64) -> bool {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut free: Vec<u128> = Vec::new();
+        for _ in 0..2 {
+            let dense: u128 = random.random::<u128>() | random.random::<u128>();
+            free.push(dense & 0xffff);
+        }
+        let mut wanted: Vec<u32> = (0..random.random_range(0..5))
+            .map(|_| 1 << random.random_range(0..5))
+            .collect();
+        wanted.sort_unstable_by(|one, other| other.cmp(one));
+        let mut have = LevelCounts::default();
+        free.iter()
+            .for_each(|mask| have.add(&LevelCounts::of_mask(*mask)));
+        let mut counts = LevelCounts::default();
+        wanted
+            .iter()
+            .for_each(|size| counts.0[shape(*size).level()] += 1);
+        (have.shortage(&counts) == 0) == packs(&mut free, &wanted)
+    }
+    check(property);
+}
+
+/// Names the guarantee invariant with the exhaustive packer on whole states.
+fn packs_in_state(state: &FoldState) -> bool {
+    let mut free: Vec<u128> = state
+        .racks
+        .rows
+        .iter()
+        .map(|row| row.reclaimable())
+        .collect();
+    let unbound = state.unbound_cells(&name("d0"));
+    let mut wanted = Vec::new();
+    for level in (0..unbound.0.len()).rev() {
+        for _ in 0..unbound.0[level].max(0) {
+            wanted.push(1 << level);
+        }
+    }
+    packs(&mut free, &wanted)
+}
+
+#[test]
+fn the_guarantee_invariant_equals_an_exhaustive_packer() {
+    fn property(seed: u64) -> bool {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut bench = three_teams();
+        for step in 0..STEPS / 2 {
+            random_step(&mut bench, &mut random, step);
+            let counted = bench.state.shortage(&name("d0")) == 0;
+            assert_eq!(counted, packs_in_state(&bench.state));
+        }
+        true
+    }
+    check(property);
+}
+
+#[test]
+fn every_job_ends_once_the_faults_stop() {
+    fn property(seed: u64) -> bool {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut bench = three_teams();
+        for step in 0..STEPS {
+            random_step(&mut bench, &mut random, step);
+        }
+        for index in 0..8 {
+            bench.set_worker(index, WorkerState::Live);
+        }
+        for _ in 0..400 {
+            bench.now_ms += 60_000;
+            bench.plan();
+            bench.work(&mut random, 1.0, 0.8, 0);
+        }
+        let open: Vec<_> = bench
+            .state
+            .jobs
+            .rows
+            .iter()
+            .filter(|row| row.ended_ms.is_none())
+            .collect();
+        let ids: Vec<_> = open.iter().map(|row| row.spec.id.as_str()).collect();
+        assert!(ids.is_empty(), "{ids:?} of {:?}", bench.state.racks);
+        true
+    }
+    check(property);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod fold;
+
 use std::path::PathBuf;
 use std::time::Duration;
 
