--- /dev/null
+++ b/tests/fold_naive.rs
@@ -0,0 +1,109 @@
+//! The fold against a naive one, on placements that are mostly wrong.
+
+mod support;
+
+use hemlockramp::journal::fold::FoldVerdict;
+use hemlockramp::journal::record::{AttemptRef, PlaceRecord, RecordBody};
+use hemlockramp::systems::plan::plan;
+use hemlockramp::tables::cell::CellSpan;
+use hemlockramp::tables::job::JobRow;
+use quickcheck::{Gen, QuickCheck};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use support::fold::{FoldBench, check_invariants, job, shape, team};
+use support::naive::NaiveFold;
+
+/// Seed of every property here.
+const SEED: u64 = 0x6e61_6976;
+
+fn random_span(random: &mut ChaCha8Rng, size: u32) -> CellSpan {
+    CellSpan {
+        rack: random.random_range(0..2),
+        first: (random.random_range(0..32 / size) * size) as u8,
+        shape: shape(size),
+    }
+}
+
+/// A placement out of thin air, or the planner's own with one thing changed.
+fn random_place(bench: &FoldBench, random: &mut ChaCha8Rng) -> Option<PlaceRecord> {
+    let waiting: Vec<JobRow> = bench.state.jobs.waiting().cloned().collect();
+    if waiting.is_empty() {
+        return None;
+    }
+    let row = &waiting[random.random_range(0..waiting.len())];
+    let planned = plan(&bench.state, bench.now_ms, &bench.policy).records;
+    let planned = planned.into_iter().find_map(|record| match record {
+        RecordBody::Place(place) => Some(place),
+        _ => None,
+    });
+    let size = row.spec.shape.accelerators();
+    let made = PlaceRecord {
+        job: row.spec.id.clone(),
+        attempt: row.attempts + 1,
+        cells: (0..row.spec.count)
+            .map(|_| random_span(random, size))
+            .collect(),
+        guaranteed: random.random_bool(0.5),
+        bind: Vec::new(),
+        victims: Vec::new(),
+    };
+    let mut place = match random.random_bool(0.7) {
+        true => planned.unwrap_or(made),
+        false => made,
+    };
+    match random.random_range(0..8) {
+        0 => place.attempt += 1,
+        1 => place.guaranteed = !place.guaranteed,
+        2 => drop(place.bind.pop()),
+        3 => place.bind.push(random_span(random, 8)),
+        4 => drop(place.victims.pop()),
+        5 => place.victims.push(AttemptRef {
+            job: row.spec.id.clone(),
+            attempt: 1,
+        }),
+        _ => {}
+    }
+    Some(place)
+}
+
+#[test]
+fn the_fold_accepts_just_what_the_naive_one_does() {
+    fn property(seed: u64) -> bool {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut bench = FoldBench::new(2);
+        let mut red = team("red", &[(16, 1), (4, 1)]);
+        red.quota_accelerators = 40;
+        let mut blue = team("blue", &[(8, 1)]);
+        blue.may_borrow = seed % 3 > 0;
+        let teams = vec![red, blue];
+        let mut naive = NaiveFold {
+            racks: 2,
+            teams: teams.clone(),
+            ..NaiveFold::default()
+        };
+        assert_eq!(bench.ticket(1, teams), FoldVerdict::Accepted);
+        for step in 0..30 {
+            let owner = ["red", "blue"][random.random_range(0..2)];
+            let size = 1 << random.random_range(0..5);
+            let spec = job(&format!("j{step}"), owner, size, random.random_range(1..3));
+            let submit = RecordBody::Submit(spec);
+            naive.apply(&submit);
+            bench.accept(submit);
+            let Some(place) = random_place(&bench, &mut random) else {
+                continue;
+            };
+            let record = RecordBody::Place(place);
+            let expected = naive.apply(&record);
+            let verdict = bench.push(record.clone());
+            let accepted = verdict == FoldVerdict::Accepted;
+            assert_eq!(accepted, expected, "{verdict:?} for {record:?}");
+            check_invariants(&bench.state);
+        }
+        true
+    }
+    println!("seed {SEED:#x}");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(64, SEED))
+        .tests(150)
+        .quickcheck(property as fn(u64) -> bool);
+}
--- /dev/null
+++ b/tests/support/log.rs
@@ -0,0 +1,159 @@
+//! A log in memory whose appends fail by a schedule.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hemlockramp::journal::client::{LogStore, ReadRange};
+use hemlockramp::routing::verdict::CallFailure;
+use hemlockramp::tables::name::ObjectName;
+use hemlockramp::wire::log::{LogRecord, ReadAnswer};
+use tokio::time::Instant;
+
+/// What happens to one append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendFate {
+    /// It stands, and the answer comes.
+    Good,
+    /// It is refused at once.
+    Down,
+    /// It stands, and the answer is lost.
+    LostAnswer,
+    /// It never stands, and no answer comes.
+    LostRequest,
+    /// No answer comes, and it stands this much later.
+    Late(Duration),
+}
+
+/// Streams in memory. Cloning shares them.
+#[derive(Clone)]
+pub struct MemoryLog {
+    inner: Arc<Mutex<Inner>>,
+    started: Instant,
+}
+
+#[derive(Default)]
+struct Inner {
+    streams: Vec<(ObjectName, Stream)>,
+    /// Fates of the coming appends, last first.
+    fates: Vec<AppendFate>,
+    appends: usize,
+    reads_down: bool,
+}
+
+#[derive(Default, Clone)]
+struct Stream {
+    first: u64,
+    records: Vec<LogRecord>,
+}
+
+impl MemoryLog {
+    pub fn new() -> Self {
+        Self {
+            inner: Arc::default(),
+            started: Instant::now(),
+        }
+    }
+
+    /// Sets the fates of the coming appends; those after are good.
+    pub fn set_fates(&self, mut fates: Vec<AppendFate>) {
+        fates.reverse();
+        self.inner.lock().expect("lock").fates = fates;
+    }
+
+    pub fn set_reads_down(&self, down: bool) {
+        self.inner.lock().expect("lock").reads_down = down;
+    }
+
+    pub fn appends(&self) -> usize {
+        self.inner.lock().expect("lock").appends
+    }
+
+    /// Drops all but the newest records of a stream.
+    pub fn keep_newest(&self, stream: &ObjectName, keep: usize) {
+        let mut inner = self.inner.lock().expect("lock");
+        let stream = inner.stream(stream);
+        let gone = stream.records.len().saturating_sub(keep);
+        stream.records.drain(..gone);
+        stream.first += gone as u64;
+    }
+
+    pub fn add(&self, stream: &ObjectName, texts: Vec<String>) -> u64 {
+        let at_ms = 1_000 + self.started.elapsed().as_millis() as u64;
+        let mut inner = self.inner.lock().expect("lock");
+        inner.appends += 1;
+        let stream = inner.stream(stream);
+        let first = stream.first + stream.records.len() as u64;
+        for (text, offset) in texts.into_iter().zip(first..) {
+            stream.records.push(LogRecord {
+                offset,
+                at_ms,
+                text,
+            });
+        }
+        first
+    }
+}
+
+impl Inner {
+    fn stream(&mut self, name: &ObjectName) -> &mut Stream {
+        let found = self.streams.iter().position(|(own, _)| own == name);
+        let index = found.unwrap_or_else(|| {
+            self.streams.push((name.clone(), Stream::default()));
+            self.streams.len() - 1
+        });
+        &mut self.streams[index].1
+    }
+}
+
+impl LogStore for MemoryLog {
+    async fn append(&self, stream: &ObjectName, records: Vec<String>) -> Result<u64, CallFailure> {
+        let fate = self.inner.lock().expect("lock").fates.pop();
+        let lost = || CallFailure::may_have_run(504, "no answer");
+        match fate.unwrap_or(AppendFate::Good) {
+            AppendFate::Good => Ok(self.add(stream, records)),
+            AppendFate::Down => Err(CallFailure::not_run(503, "down")),
+            AppendFate::LostRequest => Err(lost()),
+            AppendFate::LostAnswer => {
+                self.add(stream, records);
+                Err(lost())
+            }
+            AppendFate::Late(delay) => {
+                let (log, stream) = (self.clone(), stream.clone());
+                tokio::spawn(async move {
+                    tokio::time::sleep(delay).await;
+                    log.add(&stream, records);
+                });
+                Err(lost())
+            }
+        }
+    }
+
+    async fn read(&self, stream: &ObjectName, range: ReadRange) -> Result<ReadAnswer, CallFailure> {
+        let until = Instant::now() + Duration::from_millis(range.wait_ms);
+        loop {
+            {
+                let mut inner = self.inner.lock().expect("lock");
+                if inner.reads_down {
+                    return Err(CallFailure::not_run(503, "down"));
+                }
+                let stream = inner.stream(stream);
+                let skip = range.from.saturating_sub(stream.first) as usize;
+                let records: Vec<_> = stream
+                    .records
+                    .iter()
+                    .skip(skip)
+                    .take(range.max)
+                    .cloned()
+                    .collect();
+                if !records.is_empty() || stream.first > range.from || Instant::now() >= until {
+                    return Ok(ReadAnswer {
+                        records,
+                        first_retained: stream.first,
+                        next: stream.first + stream.records.len() as u64,
+                    });
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,8 @@
 #![allow(dead_code, reason = "each test file uses its own part")]
 
 pub mod fold;
+pub mod log;
+pub mod naive;
 
 use std::path::PathBuf;
 use std::time::Duration;
