Make three surviving mutations fail a test

Causes: the naive test left 36 of 64 accelerators unguaranteed; no ticket above the capacity was tried; damaged parts failed in base64 before the checksum.

--- a/tests/fold_naive.rs
+++ b/tests/fold_naive.rs
@@ -51,7 +51,7 @@
         true => planned.unwrap_or(made),
         false => made,
     };
-    match random.random_range(0..8) {
+    match random.random_range(0..9) {
         0 => place.attempt += 1,
         1 => place.guaranteed = !place.guaranteed,
         2 => drop(place.bind.pop()),
@@ -61,19 +61,29 @@
             job: row.spec.id.clone(),
             attempt: 1,
         }),
+        6 => move_binding(&mut place, random),
         _ => {}
     }
     Some(place)
 }
 
+/// Binds and claims somewhere else, where other guarantees may then not fit.
+fn move_binding(place: &mut PlaceRecord, random: &mut ChaCha8Rng) {
+    if let Some(bound) = place.bind.first_mut() {
+        *bound = random_span(random, bound.shape.accelerators());
+        place.cells[0].rack = bound.rack;
+        place.cells[0].first = bound.first;
+    }
+}
+
 #[test]
 fn the_fold_accepts_just_what_the_naive_one_does() {
     fn property(seed: u64) -> bool {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut bench = FoldBench::new(2);
-        let mut red = team("red", &[(16, 1), (4, 1)]);
-        red.quota_accelerators = 40;
-        let mut blue = team("blue", &[(8, 1)]);
+        let mut red = team("red", &[(16, 2), (4, 1)]);
+        red.quota_accelerators = 48;
+        let mut blue = team("blue", &[(8, 3)]);
         blue.may_borrow = !seed.is_multiple_of(3);
         let teams = vec![red, blue];
         let mut naive = NaiveFold {
@@ -104,6 +114,6 @@
     println!("seed {SEED:#x}");
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(64, SEED))
-        .tests(150)
+        .tests(300)
         .quickcheck(property as fn(u64) -> bool);
 }
--- a/tests/fold_placement.rs
+++ b/tests/fold_placement.rs
@@ -246,6 +246,82 @@
     check(property);
 }
 
+#[test]
+fn tickets_that_cannot_be_kept_are_refused() {
+    struct Case {
+        name: &'static str,
+        number: u64,
+        guarantees: &'static [(u32, u32)],
+        refused: Option<&'static str>,
+    }
+    let cases = [
+        Case {
+            name: "all of both racks",
+            number: 2,
+            guarantees: &[(32, 2)],
+            refused: None,
+        },
+        Case {
+            name: "the same number",
+            number: 2,
+            guarantees: &[(8, 1)],
+            refused: Some("taken"),
+        },
+        Case {
+            name: "one cell too many",
+            number: 3,
+            guarantees: &[(32, 2), (1, 1)],
+            refused: Some("do not fit"),
+        },
+        Case {
+            name: "a cell wider than a rack",
+            number: 3,
+            guarantees: &[(64, 1)],
+            refused: Some("do not fit"),
+        },
+        Case {
+            name: "a lower number",
+            number: 1,
+            guarantees: &[(8, 1)],
+            refused: Some("stands at ticket 2"),
+        },
+        Case {
+            name: "a shape twice",
+            number: 3,
+            guarantees: &[(8, 1), (8, 2)],
+            refused: Some("twice"),
+        },
+        Case {
+            name: "less",
+            number: 3,
+            guarantees: &[(8, 1)],
+            refused: None,
+        },
+    ];
+    let mut bench = FoldBench::new(2);
+    for case in cases {
+        let before = bench
+            .state
+            .teams
+            .find(&name("red"))
+            .map(|row| row.spec.clone());
+        let verdict = bench.ticket(case.number, vec![team("red", case.guarantees)]);
+        let now = bench
+            .state
+            .teams
+            .find(&name("red"))
+            .map(|row| row.spec.clone());
+        match (verdict, case.refused) {
+            (FoldVerdict::Accepted, None) => {}
+            (FoldVerdict::Refused(reason), Some(part)) => {
+                assert!(reason.contains(part), "{}: {reason}", case.name);
+                assert_eq!(now, before, "{} changed nothing", case.name);
+            }
+            (verdict, _) => panic!("{}: {verdict:?}", case.name),
+        }
+    }
+}
+
 #[test]
 fn every_job_ends_once_the_faults_stop() {
     fn property(seed: u64) -> bool {
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -7,7 +7,9 @@
 use hemlockramp::journal::client::LogStore;
 use hemlockramp::journal::fold::FoldStep;
 use hemlockramp::journal::record::RecordBody;
-use hemlockramp::journal::snapshot::{join_parts, read_newest, split_state, write_snapshot};
+use hemlockramp::journal::snapshot::{
+    SnapshotPart, join_parts, read_newest, split_state, write_snapshot,
+};
 use hemlockramp::journal::state::FoldState;
 use hemlockramp::journal::tail::{JournalStreams, JournalView, TailStatus, follow};
 use hemlockramp::journal::writer::{AppendOutcome, JournalWriter};
@@ -235,6 +237,24 @@
         .await;
 }
 
+/// A state of several parts; states of other letters are as long.
+fn many_jobs(letter: &str) -> FoldBench {
+    let mut bench = FoldBench::new(2);
+    bench.ticket(1, vec![team("red", &[])]);
+    for index in 0..1_500 {
+        bench.submit(job(&format!("{letter}{index}"), "red", 1, 1));
+    }
+    bench
+}
+
+/// Puts a part of a state that is as long, and readable, in the place of one part.
+fn mix_snapshots(texts: &mut Vec<String>) {
+    let other = split_state(&many_jobs("k").state, 2).expect("parts");
+    let mut part: SnapshotPart = serde_json::from_str(&texts[1]).expect("a part");
+    part.data = other[1].data.clone();
+    texts[1] = serde_json::to_string(&part).expect("text");
+}
+
 #[tokio::test(start_paused = true)]
 async fn broken_snapshots_are_passed_over() {
     struct Case {
@@ -250,16 +270,16 @@
             name: "a part is damaged",
             spoil: |texts| texts[1] = texts[1].replace("data\":\"", "data\":\"AAAA"),
         },
+        Case {
+            name: "a part is another snapshot's",
+            spoil: mix_snapshots,
+        },
         Case {
             name: "a part is no JSON",
             spoil: |texts| texts[0].truncate(10),
         },
     ];
-    let mut bench = FoldBench::new(2);
-    bench.ticket(1, vec![team("red", &[])]);
-    for index in 0..1_500 {
-        bench.submit(job(&format!("j{index}"), "red", 1, 1));
-    }
+    let bench = many_jobs("j");
     for case in cases {
         let log = MemoryLog::new();
         let snapshots: ObjectName = streams().snapshots;
