Place on free cells first; replay the policy against first come, first fit

Cause of a worse mean than naive (replay, trial on the first workload, without bursts): guaranteed placements took fresh cells and evicted borrowed work while free cells stood elsewhere. Ruled out as the cause: the order of the queue and reservations (switched off one by one: no gain) and the guarantees themselves (without any, mean within 1.5% of naive).

Tried, no clear gain, not kept: fragmentation weight 0.

Cause of slow rounds: the weight of a victim's team summed all attempts for each victim, quadratic in running jobs.

--- a/src/journal/fold_ticket.rs
+++ b/src/journal/fold_ticket.rs
@@ -171,11 +171,7 @@
             "team {team}: a domain and shape stand twice in its guarantees"
         ));
     }
-    let sizes = spec
-        .guarantees
-        .iter()
-        .map(|held| u64::from(held.shape.accelerators()) * u64::from(held.count));
-    let total: u64 = sizes.sum();
+    let total = spec.guaranteed_accelerators();
     match total <= u64::from(spec.quota_accelerators) {
         true => Ok(()),
         false => Err(format!(
--- a/src/reports/row.rs
+++ b/src/reports/row.rs
@@ -71,7 +71,7 @@
     let own: Vec<&JobRow> = jobs.filter(|job| job.spec.team == *name).collect();
     let mut row = ReportRow {
         team: name.to_string(),
-        guaranteed: guaranteed_of(team),
+        guaranteed: team.spec.guaranteed_accelerators(),
         short: short_of(state, name),
         ..ReportRow::default()
     };
@@ -82,13 +82,6 @@
     row
 }
 
-fn guaranteed_of(team: &TeamRow) -> u64 {
-    let cells = team.spec.guarantees.iter();
-    cells
-        .map(|held| u64::from(held.shape.accelerators()) * u64::from(held.count))
-        .sum()
-}
-
 fn short_of(state: &FoldState, team: &ObjectName) -> u64 {
     let short = state.short_guarantees();
     let own = short.iter().filter(|row| row.team == *team);
--- a/src/settings/scheduler.rs
+++ b/src/settings/scheduler.rs
@@ -212,6 +212,7 @@
         0..=100,
     )?;
     count("starvation_ms", policy.starvation_ms, 1_000..=604_800_000)?;
+    count("ageing_ms", policy.ageing_ms, 1_000..=604_800_000)?;
     count("reservation_ms", policy.reservation_ms, 0..=604_800_000)?;
     count(
         "checkpoint_grace_ms",
--- a/src/systems/claim.rs
+++ b/src/systems/claim.rs
@@ -123,15 +123,58 @@
     loss: u64,
 }
 
+/// Weight of evicting work of a team that holds no more than its guarantees.
+const ENTITLED_WEIGHT: u64 = 8;
+
+/// What one team holds.
+struct HoldRow<'a> {
+    team: &'a ObjectName,
+    accelerators: u64,
+}
+
+/// Lists what each team holds, sorted by team.
+fn holds_of(state: &FoldState) -> Vec<HoldRow<'_>> {
+    let mut rows: Vec<HoldRow<'_>> = Vec::new();
+    for (job, _) in state.jobs.active() {
+        let team = &job.spec.team;
+        let size = u64::from(job.spec.accelerators());
+        match rows.binary_search_by(|row| row.team.cmp(team)) {
+            Ok(index) => rows[index].accelerators += size,
+            Err(index) => rows.insert(
+                index,
+                HoldRow {
+                    team,
+                    accelerators: size,
+                },
+            ),
+        }
+    }
+    rows
+}
+
+fn entitled_weight(state: &FoldState, holds: &[HoldRow<'_>], job: &JobRow) -> u64 {
+    let team = &job.spec.team;
+    let row = state.teams.find(team);
+    let guaranteed = row.map_or(0, |row| row.spec.guaranteed_accelerators());
+    let found = holds.binary_search_by(|row| row.team.cmp(team));
+    let held = found.map_or(0, |index| holds[index].accelerators);
+    match held <= guaranteed {
+        true => ENTITLED_WEIGHT,
+        false => 1,
+    }
+}
+
 impl LossTable {
     fn new(state: &FoldState, domain: &ObjectName) -> Self {
+        let holds = holds_of(state);
         let mut rows = Vec::new();
         for (job, attempt) in state.jobs.active().filter(|(_, attempt)| attempt.holds) {
             let inside = attempt.cells.iter().filter(|span| {
                 let row = state.racks.row(span.rack);
                 row.is_some_and(|row| row.domain == *domain)
             });
-            let loss = eviction_loss(job, state.now_ms);
+            let loss = eviction_loss(job, state.now_ms)
+                .saturating_mul(entitled_weight(state, &holds, job));
             rows.extend(inside.map(|span| LossRow { span: *span, loss }));
         }
         rows.sort_by_key(|row| row.span.rack);
--- a/src/systems/order.rs
+++ b/src/systems/order.rs
@@ -9,8 +9,6 @@
 ///
 /// Least attained service first, in two queues, as in Tiresias (NSDI 2019).
 const FIRST_QUEUE_MS: u64 = 8 * 60 * 60 * 1_000;
-/// Wait that halves a job's expected run time in its score, in ms.
-const AGEING_MS: u64 = 10 * 60 * 1_000;
 
 /// Sort key of a waiting job; the smallest is tried first.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -67,7 +65,7 @@
     // A larger shape counts as a shorter job: it finds a place less often.
     let shrink = 100 + levels * u64::from(policy.fragmentation_weight);
     let weighed = run_ms.saturating_mul(100) / shrink;
-    let aged = weighed.saturating_mul(AGEING_MS) / (AGEING_MS + waited_ms);
+    let aged = weighed.saturating_mul(policy.ageing_ms) / (policy.ageing_ms + waited_ms);
     match policy.completion_weight {
         0 => 0,
         _ => aged,
--- a/src/systems/plan.rs
+++ b/src/systems/plan.rs
@@ -121,13 +121,30 @@
         }
     }
 
+    /// Free cells of the guarantee go first, then borrowed ones; only then, or for urgent
+    /// work, is borrowed work evicted.
     fn search(&mut self, job: &JobRow) -> Option<PlaceRecord> {
-        if !self.has_failed(&job.spec, true) {
-            if let Some(place) = choose_guaranteed(&self.scratch, job) {
-                return Some(place);
-            }
+        if job.spec.urgent
+            && let Some(claim) = self.search_guaranteed(job)
+        {
+            return Some(claim);
+        }
+        self.search_borrowed(job)
+            .or_else(|| self.search_guaranteed(job))
+    }
+
+    fn search_guaranteed(&mut self, job: &JobRow) -> Option<PlaceRecord> {
+        if self.has_failed(&job.spec, true) {
+            return None;
+        }
+        let place = choose_guaranteed(&self.scratch, job);
+        if place.is_none() {
             self.note_failed(&job.spec, true);
         }
+        place
+    }
+
+    fn search_borrowed(&mut self, job: &JobRow) -> Option<PlaceRecord> {
         let team = self.scratch.teams.find(&job.spec.team)?;
         if !team.spec.may_borrow || self.has_failed(&job.spec, false) {
             return None;
--- a/src/systems/policy.rs
+++ b/src/systems/policy.rs
@@ -11,9 +11,12 @@
     pub completion_weight: u32,
     /// Weight of unbroken large cells; 0 to 100, default 50.
     pub fragmentation_weight: u32,
-    /// Wait after which a job goes before all that are not urgent, in ms; default 1800000.
+    /// Wait after which a job goes before all that are not urgent, in ms; default 14400000.
     pub starvation_ms: u64,
-    /// Wait after which a blocked gang gets a reservation, in ms; default 60000.
+    /// Wait that halves a job's expected run time in the order of the queue, in ms;
+    /// default 14400000.
+    pub ageing_ms: u64,
+    /// Wait after which a blocked gang gets a reservation, in ms; default 3600000.
     pub reservation_ms: u64,
     /// Time a reclaimed task has to checkpoint before it is stopped, in ms; default 2000.
     pub checkpoint_grace_ms: u64,
@@ -29,8 +32,9 @@
         Self {
             completion_weight: 50,
             fragmentation_weight: 50,
-            starvation_ms: 1_800_000,
-            reservation_ms: 60_000,
+            starvation_ms: 14_400_000,
+            ageing_ms: 14_400_000,
+            reservation_ms: 3_600_000,
             checkpoint_grace_ms: 2_000,
             reject_after_ms: 3_000,
             placements_per_tick: 64,
--- a/src/tables/team.rs
+++ b/src/tables/team.rs
@@ -59,6 +59,16 @@
     true
 }
 
+impl TeamSpec {
+    /// Returns the accelerators of all guarantees.
+    pub fn guaranteed_accelerators(&self) -> u64 {
+        let cells = self.guarantees.iter();
+        cells
+            .map(|held| u64::from(held.shape.accelerators()) * u64::from(held.count))
+            .sum()
+    }
+}
+
 /// One team with the ticket that last changed it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TeamRow {
--- /dev/null
+++ b/standins/src/replay/engine.rs
@@ -0,0 +1,349 @@
+//! Runs a job stream through the fold and a planner.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use hemlockramp::journal::fold::{FoldVerdict, PlacedRecord};
+use hemlockramp::journal::record::{JournalRecord, RecordBody, RecordId, TaskReport};
+use hemlockramp::journal::state::FoldState;
+use hemlockramp::systems::claim::choose_guaranteed;
+use hemlockramp::systems::plan::plan;
+use hemlockramp::tables::job::{AttemptPhase, JobRow, StopCause, TaskState};
+use hemlockramp::tables::name::ObjectName;
+use hemlockramp::tables::ticket::TicketSpec;
+
+use crate::replay::measures::{
+    FragmentationMeter, JobTimes, ReplayMeasures, measure_jobs, percentile,
+};
+use crate::replay::naive::plan_naive;
+use crate::replay::workload::{Deployment, StreamJob};
+
+/// Time for a gang to be prepared and started, in ms.
+const START_MS: u64 = 300;
+/// Time between two rounds of planning while jobs wait, in ms.
+const ROUND_MS: u64 = 30_000;
+/// Time from a change to the round of planning that sees it, in ms.
+const REACT_MS: u64 = 100;
+/// Time between two checkpoints of a job; an eviction's grace saves one more, in ms.
+const CHECKPOINT_EVERY: u64 = 600_000;
+/// One job in this many cannot checkpoint and starts over.
+const NO_CHECKPOINT_ONE_IN: usize = 4;
+/// Replay ends this long after the last arrival, in ms.
+const PATIENCE_MS: u64 = 7 * 24 * 3_600_000;
+/// Milliseconds of an hour.
+const HOUR_MS: f64 = 3_600_000.0;
+
+/// Which planner runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplayPlanner {
+    /// The product's.
+    Product,
+    /// First come, first fit.
+    Naive,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    Launch(usize, u32),
+    Finish(usize, u32),
+    Stopped(usize, u32),
+    Round,
+}
+
+/// What the replay knows of a job beyond its row.
+#[derive(Clone, Debug, Default)]
+struct JobTrack {
+    left_ms: u64,
+    started_ms: Option<u64>,
+    first_start_ms: Option<u64>,
+    finished_ms: Option<u64>,
+    fitted_guarantee: bool,
+    /// Attempt whose launch or stop is under way.
+    launching: u32,
+    stopping: u32,
+}
+
+struct Replay<'a> {
+    deployment: &'a Deployment,
+    jobs: &'a [StreamJob],
+    planner: ReplayPlanner,
+    state: FoldState,
+    tracks: Vec<JobTrack>,
+    index: Vec<(ObjectName, usize)>,
+    queue: BinaryHeap<Reverse<(u64, Event)>>,
+    now_ms: u64,
+    round_at: Option<u64>,
+    fragmentation: FragmentationMeter,
+    measures: ReplayMeasures,
+}
+
+/// Replays a stream and returns its figures. The same input gives the same figures.
+pub fn replay(
+    deployment: &Deployment,
+    jobs: &[StreamJob],
+    planner: ReplayPlanner,
+) -> ReplayMeasures {
+    let mut run = Replay::new(deployment, jobs, planner);
+    let last_ms = jobs.last().map_or(0, |job| job.at_ms) + PATIENCE_MS;
+    while let Some(Reverse((at_ms, event))) = run.queue.pop() {
+        if at_ms > last_ms {
+            break;
+        }
+        let arriving = run.now_ms <= last_ms - PATIENCE_MS;
+        if at_ms > run.now_ms && arriving {
+            run.fragmentation.add(&run.state, at_ms - run.now_ms);
+        }
+        run.now_ms = at_ms;
+        run.handle(event);
+    }
+    run.finish()
+}
+
+impl<'a> Replay<'a> {
+    fn new(deployment: &'a Deployment, jobs: &'a [StreamJob], planner: ReplayPlanner) -> Self {
+        let mut index: Vec<_> = jobs
+            .iter()
+            .map(|job| job.spec.id.clone())
+            .zip(0..)
+            .collect();
+        index.sort();
+        let mut run = Self {
+            deployment,
+            jobs,
+            planner,
+            state: FoldState::default(),
+            tracks: jobs
+                .iter()
+                .map(|job| JobTrack {
+                    left_ms: job.run_ms,
+                    ..JobTrack::default()
+                })
+                .collect(),
+            index,
+            queue: BinaryHeap::new(),
+            now_ms: 0,
+            round_at: None,
+            fragmentation: FragmentationMeter::default(),
+            measures: ReplayMeasures::default(),
+        };
+        for worker in deployment.worker_records() {
+            run.append(RecordBody::Worker(worker));
+        }
+        let ticket = TicketSpec {
+            number: 1,
+            author: ObjectName::try_from("operator").expect("a name"),
+            teams: deployment.team_specs(),
+        };
+        assert!(run.append(RecordBody::Ticket(ticket)), "the guarantees fit");
+        for (number, job) in jobs.iter().enumerate() {
+            run.queue.push(Reverse((job.at_ms, Event::Arrive(number))));
+        }
+        run
+    }
+
+    fn append(&mut self, body: RecordBody) -> bool {
+        let offset = self.state.next_offset;
+        let placed = PlacedRecord {
+            offset,
+            at_ms: self.now_ms,
+            record: Some(JournalRecord {
+                id: RecordId {
+                    boot: 1,
+                    seq: offset + 1,
+                },
+                host: ObjectName::try_from("e0").expect("a name"),
+                body,
+            }),
+        };
+        self.state.apply(&placed).verdict == FoldVerdict::Accepted
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(number) => self.arrive(number),
+            Event::Launch(number, attempt) => self.launch(number, attempt),
+            Event::Finish(number, attempt) => self.end(number, attempt, TaskState::Finished),
+            Event::Stopped(number, attempt) => self.end(number, attempt, TaskState::Stopped),
+            Event::Round => self.round(),
+        }
+    }
+
+    fn arrive(&mut self, number: usize) {
+        let spec = self.jobs[number].spec.clone();
+        let row = JobRow::new(spec.clone(), self.now_ms);
+        self.tracks[number].fitted_guarantee = choose_guaranteed(&self.state, &row).is_some();
+        assert!(self.append(RecordBody::Submit(spec)), "the job is taken");
+        self.round_by(self.now_ms + REACT_MS);
+    }
+
+    fn round_by(&mut self, at_ms: u64) {
+        if self.round_at.is_none_or(|at| at > at_ms) {
+            self.round_at = Some(at_ms);
+            self.queue.push(Reverse((at_ms, Event::Round)));
+        }
+    }
+
+    fn round(&mut self) {
+        if self.round_at != Some(self.now_ms) {
+            return;
+        }
+        self.round_at = None;
+        self.measures.rounds += 1;
+        let records = match self.planner {
+            ReplayPlanner::Product => {
+                let result = plan(&self.state, self.now_ms, &self.deployment.policy);
+                self.measures.searched += result.searched;
+                result.records
+            }
+            ReplayPlanner::Naive => plan_naive(&self.state),
+        };
+        let full = records.len() >= self.deployment.policy.placements_per_tick;
+        for record in records {
+            assert!(self.append(record), "a planned record is taken");
+        }
+        self.schedule_changes();
+        if full {
+            self.round_by(self.now_ms + REACT_MS);
+        } else if self.state.jobs.waiting().next().is_some() {
+            self.round_by(self.now_ms + ROUND_MS);
+        }
+    }
+
+    /// Schedules what workers do next for attempts that changed.
+    fn schedule_changes(&mut self) {
+        let grace_ms = self.deployment.policy.checkpoint_grace_ms;
+        let mut events = Vec::new();
+        for (job, attempt) in self.state.jobs.active() {
+            let number = number_of(&self.index, &job.spec.id);
+            let track = &mut self.tracks[number];
+            match attempt.phase {
+                AttemptPhase::Preparing if track.launching < attempt.number => {
+                    track.launching = attempt.number;
+                    events.push((
+                        self.now_ms + START_MS,
+                        Event::Launch(number, attempt.number),
+                    ));
+                }
+                AttemptPhase::Stopping(StopCause::Reclaimed) if track.stopping < attempt.number => {
+                    track.stopping = attempt.number;
+                    events.push((
+                        self.now_ms + grace_ms,
+                        Event::Stopped(number, attempt.number),
+                    ));
+                }
+                _ => {}
+            }
+        }
+        events
+            .into_iter()
+            .for_each(|event| self.queue.push(Reverse(event)));
+    }
+
+    fn report(&mut self, number: usize, attempt: u32, state: TaskState) -> bool {
+        let id = self.jobs[number].spec.id.clone();
+        let row = self
+            .state
+            .attempt_of(&id)
+            .filter(|row| row.number == attempt);
+        let Some(tasks) = row.map(|row| row.tasks.len()) else {
+            return false;
+        };
+        let reports = (0..tasks).map(|task| TaskReport {
+            job: id.clone(),
+            attempt,
+            task: task as u16,
+            state,
+            ran_ms: 0,
+        });
+        let record = RecordBody::Tasks(reports.collect());
+        self.append(record)
+    }
+
+    fn launch(&mut self, number: usize, attempt: u32) {
+        let phase = self
+            .state
+            .attempt_of(&self.jobs[number].spec.id)
+            .map(|row| row.phase);
+        if phase != Some(AttemptPhase::Preparing) {
+            return;
+        }
+        self.report(number, attempt, TaskState::Prepared);
+        self.report(number, attempt, TaskState::Running);
+        let track = &mut self.tracks[number];
+        track.started_ms = Some(self.now_ms);
+        track.first_start_ms.get_or_insert(self.now_ms);
+        let end_ms = self.now_ms + track.left_ms;
+        self.queue
+            .push(Reverse((end_ms, Event::Finish(number, attempt))));
+    }
+
+    fn end(&mut self, number: usize, attempt: u32, state: TaskState) {
+        let id = &self.jobs[number].spec.id;
+        let phase = self.state.attempt_of(id).map(|row| row.phase);
+        let evicted = matches!(phase, Some(AttemptPhase::Stopping(_)));
+        if state == TaskState::Finished && evicted {
+            return;
+        }
+        if !self.report(number, attempt, state) {
+            return;
+        }
+        match state {
+            TaskState::Stopped => self.lose_work(number),
+            _ => self.tracks[number].finished_ms = Some(self.now_ms),
+        }
+        self.tracks[number].started_ms = None;
+        self.schedule_changes();
+        self.round_by(self.now_ms + REACT_MS);
+    }
+
+    fn lose_work(&mut self, number: usize) {
+        let track = &mut self.tracks[number];
+        let Some(started_ms) = track.started_ms else {
+            return;
+        };
+        let ran_ms = self.now_ms - started_ms;
+        self.measures.evictions += 1;
+        let kept_ms = match number.is_multiple_of(NO_CHECKPOINT_ONE_IN) {
+            true => 0,
+            false => ran_ms - ran_ms % CHECKPOINT_EVERY,
+        };
+        track.left_ms = track.left_ms.saturating_sub(kept_ms).max(1);
+        let size = f64::from(self.jobs[number].spec.accelerators());
+        self.measures.lost_hours += (ran_ms - kept_ms) as f64 / HOUR_MS * size;
+    }
+
+    fn finish(mut self) -> ReplayMeasures {
+        let times = self
+            .jobs
+            .iter()
+            .zip(&self.tracks)
+            .map(|(job, track)| JobTimes {
+                took_ms: track.finished_ms.map(|at_ms| at_ms - job.at_ms),
+                deadline_ms: job.spec.deadline_ms,
+            });
+        measure_jobs(&times.collect::<Vec<_>>(), &mut self.measures);
+        self.measures.fragmentation = self.fragmentation.average();
+        self.measures.records = self.state.next_offset;
+        let mut urgent = Vec::new();
+        for (job, track) in self.jobs.iter().zip(&self.tracks) {
+            let started_ms = track.first_start_ms.unwrap_or(u64::MAX);
+            let delay_s = started_ms.saturating_sub(job.at_ms) as f64 / 1_000.0;
+            if job.spec.urgent {
+                urgent.push(delay_s);
+            }
+            if track.fitted_guarantee {
+                self.measures.claim_max_s = self.measures.claim_max_s.max(delay_s);
+            }
+        }
+        urgent.sort_by(f64::total_cmp);
+        self.measures.urgent_p95_s = percentile(&urgent, 95);
+        self.measures.urgent_max_s = urgent.last().copied().unwrap_or(0.0);
+        self.measures
+    }
+}
+
+fn number_of(index: &[(ObjectName, usize)], id: &ObjectName) -> usize {
+    let found = index.binary_search_by(|(own, _)| own.cmp(id));
+    index[found.expect("every job is of the stream")].1
+}
--- /dev/null
+++ b/standins/src/replay/workload.rs
@@ -0,0 +1,276 @@
+//! Deployments and job streams, made from a seed.
+
+use hemlockramp::journal::record::WorkerRecord;
+use hemlockramp::systems::policy::PolicySettings;
+use hemlockramp::tables::cell::CellShape;
+use hemlockramp::tables::job::JobSpec;
+use hemlockramp::tables::name::ObjectName;
+use hemlockramp::tables::team::{TeamGuarantee, TeamSpec};
+use hemlockramp::tables::worker::WorkerState;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Milliseconds of an hour.
+const HOUR_MS: f64 = 3_600_000.0;
+/// Largest factor by which a declared run time is off, either way.
+const DECLARED_OFF: f64 = 10.0;
+/// One job in this many is urgent.
+const URGENT_ONE_IN: u32 = 20;
+/// One job in this many starts a burst.
+const BURST_ONE_IN: u32 = 60;
+/// Accelerators that the jobs of a burst ask for.
+const BURST_ACCELERATORS: u32 = 256;
+/// Fewest jobs of a burst.
+const BURST_JOBS_MIN: u32 = 4;
+/// Most jobs of a burst.
+const BURST_JOBS_MAX: u32 = 100;
+/// Time in which a burst arrives, in ms.
+const BURST_MS: u64 = 60_000;
+/// One job in this many has a deadline.
+const DEADLINE_ONE_IN: u32 = 4;
+
+/// A deployment and its load.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Its name.
+    pub name: &'static str,
+    /// Failure domains.
+    pub domains: usize,
+    /// Workers in all.
+    pub workers: usize,
+    /// Workers in a rack.
+    pub rack: usize,
+    /// Teams.
+    pub teams: usize,
+    /// Hours of arrivals.
+    pub hours: f64,
+    /// Share of the accelerators that the jobs need over these hours.
+    pub load: f64,
+    /// Mean run time, in hours.
+    pub run_hours: f64,
+    /// Most accelerators of a gang.
+    pub gang_max: u32,
+    /// Share of the capacity that is guaranteed, in percent.
+    pub guaranteed_percent: usize,
+    /// Policy.
+    pub policy: PolicySettings,
+}
+
+/// One job and how long it really takes.
+#[derive(Clone, Debug)]
+pub struct StreamJob {
+    /// Arrival, in ms.
+    pub at_ms: u64,
+    /// The job.
+    pub spec: JobSpec,
+    /// Its real run time, in ms.
+    pub run_ms: u64,
+}
+
+/// Lanka Rail: four domains, six workers to a rack, fragmentation weighs more.
+pub fn lanka_rail() -> Deployment {
+    Deployment {
+        name: "lanka-rail",
+        domains: 4,
+        workers: 50,
+        rack: 6,
+        teams: 4,
+        hours: 48.0,
+        load: 0.85,
+        run_hours: 1.0,
+        gang_max: 32,
+        guaranteed_percent: 50,
+        policy: PolicySettings {
+            completion_weight: 30,
+            fragmentation_weight: 70,
+            ..PolicySettings::default()
+        },
+    }
+}
+
+/// Salal Bin Works: three domains, eight workers to a rack, completion weighs more.
+pub fn salal_bin() -> Deployment {
+    Deployment {
+        name: "salal-bin",
+        domains: 3,
+        workers: 50,
+        rack: 8,
+        teams: 4,
+        hours: 48.0,
+        load: 0.85,
+        run_hours: 0.7,
+        gang_max: 64,
+        guaranteed_percent: 50,
+        policy: PolicySettings {
+            completion_weight: 70,
+            fragmentation_weight: 30,
+            ..PolicySettings::default()
+        },
+    }
+}
+
+/// One of six regions of the target's size.
+pub fn target_region() -> Deployment {
+    Deployment {
+        name: "target-region",
+        domains: 3,
+        workers: 2_333,
+        rack: 8,
+        teams: 37,
+        hours: 12.0,
+        load: 0.85,
+        run_hours: 4.0,
+        gang_max: 512,
+        guaranteed_percent: 50,
+        policy: PolicySettings::default(),
+    }
+}
+
+/// Jobs of one kind that arrive together.
+#[derive(Clone, Debug, Default)]
+struct Burst {
+    left: u32,
+    at_ms: u64,
+    gang: (u32, u32),
+}
+
+impl Burst {
+    /// Takes the next job: of the burst that goes on, of a new one, or by itself.
+    fn next(&mut self, random: &mut ChaCha8Rng, deployment: &Deployment) {
+        self.left = self.left.saturating_sub(1);
+        if self.left > 0 || !random.random_ratio(1, BURST_ONE_IN) {
+            return;
+        }
+        self.at_ms = (random.random_range(0.0..deployment.hours) * HOUR_MS) as u64;
+        self.gang = deployment.gang(random);
+        // About as much work whatever the size of its jobs.
+        let size = self.gang.0 * self.gang.1;
+        self.left = (BURST_ACCELERATORS / size).clamp(BURST_JOBS_MIN, BURST_JOBS_MAX);
+    }
+}
+
+fn name(text: String) -> ObjectName {
+    ObjectName::try_from(text).expect("made names are valid")
+}
+
+impl Deployment {
+    /// Lists the workers.
+    pub fn worker_records(&self) -> Vec<WorkerRecord> {
+        let records = (0..self.workers).map(|index| {
+            let domain = index % self.domains;
+            let place = index / self.domains;
+            WorkerRecord {
+                name: name(format!("w{index}")),
+                domain: name(format!("d{domain}")),
+                rack: name(format!("r{}", place / self.rack)),
+                position: (place % self.rack) as u8,
+                accelerators: 8,
+                address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+                state: WorkerState::Live,
+            }
+        });
+        records.collect()
+    }
+
+    /// Returns the teams: each is guaranteed whole workers and a few racks' halves in
+    /// each domain, together about half of the capacity.
+    pub fn team_specs(&self) -> Vec<TeamSpec> {
+        let each = self.workers * self.guaranteed_percent / 100 / self.domains / self.teams;
+        let specs = (0..self.teams).map(|team| {
+            let mut guarantees = Vec::new();
+            for domain in 0..self.domains {
+                let wide = each / 4;
+                let narrow = each - wide * 4;
+                for (size, count) in [(32, wide), (8, narrow)] {
+                    if count > 0 {
+                        guarantees.push(TeamGuarantee {
+                            domain: name(format!("d{domain}")),
+                            shape: CellShape::try_from(size).expect("a shape"),
+                            count: count as u32,
+                        });
+                    }
+                }
+            }
+            TeamSpec {
+                team: name(format!("team{team}")),
+                guarantees,
+                quota_accelerators: (self.workers * 8) as u32,
+                weight: 100,
+                max_waiting_jobs: 1_000_000,
+                max_requests_in_flight: 1,
+                may_borrow: true,
+            }
+        });
+        specs.collect()
+    }
+
+    /// Makes the jobs from a seed, sorted by arrival.
+    pub fn stream(&self, seed: u64) -> Vec<StreamJob> {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let capacity_hours = (self.workers * 8) as f64 * self.hours * self.load;
+        let mut jobs = Vec::new();
+        let mut used_hours = 0.0;
+        let mut burst = Burst::default();
+        while used_hours < capacity_hours {
+            burst.next(&mut random, self);
+            let job = self.stream_job(&mut random, jobs.len(), &burst);
+            used_hours += job.run_ms as f64 / HOUR_MS * f64::from(job.spec.accelerators());
+            jobs.push(job);
+        }
+        jobs.sort_by_key(|job| job.at_ms);
+        jobs
+    }
+
+    fn stream_job(&self, random: &mut ChaCha8Rng, index: usize, burst: &Burst) -> StreamJob {
+        let at_ms = match burst.left > 0 {
+            true => burst.at_ms + random.random_range(0..BURST_MS),
+            false => (random.random_range(0.0..self.hours) * HOUR_MS) as u64,
+        };
+        let (shape, count) = match burst.left > 0 {
+            true => burst.gang,
+            false => self.gang(random),
+        };
+        let team = random.random_range(0..self.teams);
+        // Skewed: many short jobs and a long tail, mean `run_hours`.
+        let skew: f64 = random.random_range(0.0f64..1.0).max(1e-6);
+        let run_ms = (self.run_hours * HOUR_MS * -skew.ln()).clamp(10_000.0, 24.0 * HOUR_MS) as u64;
+        let off = DECLARED_OFF.powf(random.random_range(-1.0..1.0));
+        let urgent = random.random_ratio(1, URGENT_ONE_IN) && shape * count <= 8;
+        let deadline = random.random_ratio(1, DEADLINE_ONE_IN);
+        let spec = JobSpec {
+            id: name(format!("j{index}")),
+            team: name(format!("team{team}")),
+            shape: CellShape::try_from(shape).expect("a shape"),
+            count,
+            domain: None,
+            urgent,
+            declared_ms: (run_ms as f64 * off) as u64,
+            deadline_ms: deadline.then_some(run_ms * 2 + 600_000),
+            max_attempts: 5,
+            command: String::new(),
+        };
+        StreamJob {
+            at_ms,
+            spec,
+            run_ms,
+        }
+    }
+
+    /// Draws shape and count: mostly small, some wide, few large gangs.
+    fn gang(&self, random: &mut ChaCha8Rng) -> (u32, u32) {
+        let (shape, count): (u32, u32) = match random.random_range(0..100) {
+            0..=34 => (1, 1),
+            35..=54 => (2, 1),
+            55..=69 => (4, 1),
+            70..=84 => (8, 1),
+            85..=91 => (8, random.random_range(2..5)),
+            92..=96 => (16, random.random_range(1..3)),
+            97..=98 => (32, random.random_range(1..3)),
+            _ => (32, (self.gang_max / 32).max(1)),
+        };
+        match shape * count > self.gang_max {
+            true => (shape.min(self.gang_max), 1),
+            false => (shape, count),
+        }
+    }
+}
--- a/standins/src/stage.rs
+++ b/standins/src/stage.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -383,15 +383,27 @@
     ///
     /// Fails when the signal cannot be sent.
     pub fn freeze_scheduler(&self, index: usize, frozen: bool) -> Result<(), Report> {
-        let child = self.entries[index].scheduler.as_ref();
-        let child = child.ok_or_else(|| eyre!("no scheduler {index}"))?;
         let name = if frozen { "-STOP" } else { "-CONT" };
-        let status = Command::new("kill")
-            .arg(name)
-            .arg(child.id().to_string())
-            .status()?;
-        ensure!(status.success(), "kill {name}");
-        Ok(())
+        send_signal(self.entries[index].scheduler.as_ref(), name)
+    }
+
+    /// Asks a gateway to shut down.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the signal cannot be sent.
+    pub fn terminate_gateway(&self, index: usize) -> Result<(), Report> {
+        send_signal(self.entries[index].gateway.as_ref(), "-TERM")
+    }
+
+    /// Waits for a gateway's process to end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none.
+    pub fn wait_gateway_end(&mut self, index: usize) -> Result<ExitStatus, Report> {
+        let child = self.entries[index].gateway.take();
+        Ok(child.ok_or_else(|| eyre!("no gateway {index}"))?.wait()?)
     }
 
     /// Stops the daemons and the stand-ins.
@@ -414,6 +426,16 @@
     }
 }
 
+fn send_signal(child: Option<&Child>, signal: &str) -> Result<(), Report> {
+    let child = child.ok_or_else(|| eyre!("no such process"))?;
+    let status = Command::new("kill")
+        .arg(signal)
+        .arg(child.id().to_string())
+        .status()?;
+    ensure!(status.success(), "kill {signal}");
+    Ok(())
+}
+
 fn kill(child: Option<Child>) {
     if let Some(mut child) = child {
         // It may have ended already.
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -248,7 +248,7 @@
 }
 
 /// Puts a part of a state that is as long, and readable, in the place of one part.
-fn mix_snapshots(texts: &mut Vec<String>) {
+fn mix_snapshots(texts: &mut [String]) {
     let other = split_state(&many_jobs("k").state, 2).expect("parts");
     let mut part: SnapshotPart = serde_json::from_str(&texts[1]).expect("a part");
     part.data = other[1].data.clone();
@@ -272,7 +272,7 @@
         },
         Case {
             name: "a part is another snapshot's",
-            spoil: mix_snapshots,
+            spoil: |texts| mix_snapshots(texts),
         },
         Case {
             name: "a part is no JSON",
--- /dev/null
+++ b/tests/process_requests.rs
@@ -0,0 +1,169 @@
+//! Requests through real gateways: keys across hosts, kills, shutdown, the log down.
+
+mod support;
+
+use std::time::Duration;
+
+use serde_json::json;
+use standins::caller::{self, CallerAnswer};
+use standins::fault::{FaultMode, FaultSetting};
+use standins::stage::Stage;
+use support::{StageBuilder, first_ticket};
+
+async fn start(name: &str) -> Stage {
+    let stage = StageBuilder::new(name).workers(4).start().await;
+    let mut ticket = first_ticket();
+    ticket["teams"][0]["guarantees"] = json!([]);
+    stage.post(0, "/tickets", &ticket).await.expect("ticket 1");
+    stage
+}
+
+async fn book(stage: &Stage, index: usize, key: &str, query: &str) -> CallerAnswer {
+    let key = format!("idempotency-key: {key}");
+    let headers = [key.as_str(), "hemlockramp-deadline-ms: 4000"];
+    let path = format!("/requests/photos/book{query}");
+    let gateway = stage.entries[index].gateway_address;
+    caller::post(gateway, &path, &headers, "a couch")
+        .await
+        .expect("an answer")
+}
+
+fn effects(stage: &Stage) -> usize {
+    stage
+        .runners
+        .iter()
+        .map(|(runner, _)| runner.effects().len())
+        .sum()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_same_key_at_two_hosts_at_once_runs_once() {
+    let stage = start("same_key").await;
+    for round in 0..10 {
+        let key = format!("k{round}");
+        let (one, other) = tokio::join!(
+            book(&stage, 0, &key, "?work_ms=50"),
+            book(&stage, 1, &key, "?work_ms=50")
+        );
+        for answer in [one, other] {
+            assert_eq!((answer.status, answer.body.as_str()), (200, "a couch"));
+        }
+        assert_eq!(effects(&stage), round + 1);
+    }
+    let gateway = stage.entries[0].gateway_address;
+    let other = caller::post(
+        gateway,
+        "/requests/photos/book",
+        &["idempotency-key: k0"],
+        "other",
+    );
+    let other = other.await.expect("an answer");
+    assert_eq!(
+        (other.status, other.verdict.as_str()),
+        (422, "not-run"),
+        "{}",
+        other.body
+    );
+    let old = ["idempotency-key: k99", "idempotency-issued-ms: 1000"];
+    let old = caller::post(gateway, "/requests/photos/book", &old, "x")
+        .await
+        .expect("an answer");
+    assert_eq!(
+        (old.status, old.verdict.as_str()),
+        (409, "may-have-run"),
+        "{}",
+        old.body
+    );
+    stage.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_gateway_killed_while_its_request_runs_leaves_may_have_run() {
+    let mut stage = start("killed_sending").await;
+    let gateway = stage.entries[0].gateway_address;
+    let headers = ["idempotency-key: k1"];
+    let lost = caller::post(
+        gateway,
+        "/requests/photos/book?work_ms=600",
+        &headers,
+        "a couch",
+    );
+    let kill = async {
+        tokio::time::sleep(Duration::from_millis(350)).await;
+        stage.kill_gateway(0);
+    };
+    let (lost, ()) = tokio::join!(lost, kill);
+    assert!(lost.is_err(), "the caller saw its host die: {lost:?}");
+    let again = book(&stage, 1, "k1", "?work_ms=600").await;
+    assert_eq!(
+        (again.status, again.verdict.as_str()),
+        (409, "may-have-run"),
+        "{}",
+        again.body
+    );
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(effects(&stage), 1);
+    stage.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn with_the_log_down_keyed_requests_are_not_run_and_idempotent_ones_go_on() {
+    let stage = start("requests_log_down").await;
+    stage.log.append_fault.set(FaultSetting {
+        mode: FaultMode::Down,
+        ms: 0,
+        count: 0,
+    });
+    let refused = book(&stage, 0, "k1", "").await;
+    assert_eq!(
+        (refused.status, refused.verdict.as_str()),
+        (503, "not-run"),
+        "{}",
+        refused.body
+    );
+    assert_eq!(effects(&stage), 0);
+    let gateway = stage.entries[0].gateway_address;
+    let free = ["hemlockramp-idempotent: true"];
+    let answer = caller::post(gateway, "/requests/photos/slots", &free, "a").await;
+    assert_eq!(answer.expect("idempotent").body, "a");
+    stage.log.append_fault.set(FaultSetting::default());
+    assert_eq!(
+        book(&stage, 1, "k1", "").await.status,
+        200,
+        "the key is free"
+    );
+    stage.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_under_load_cuts_nothing_off() {
+    let mut stage = start("shutdown").await;
+    let gateway = stage.entries[0].gateway_address;
+    let ready = format!("http://{gateway}/ready");
+    let mut calls = Vec::new();
+    for index in 0..60 {
+        let body = format!("b{index}");
+        calls.push(tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(10 * index)).await;
+            let free = ["hemlockramp-idempotent: true"];
+            let path = "/requests/photos/slots?work_ms=300";
+            (caller::post(gateway, path, &free, &body).await, body)
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    stage.terminate_gateway(0).expect("terminated");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let client = hemlockramp::wire::http::HttpClient::default();
+    let answer = client.get_text(&ready, Duration::from_secs(1)).await;
+    assert!(
+        answer.is_err(),
+        "readiness is off before anything is refused"
+    );
+    for call in calls {
+        let (answer, body) = call.await.expect("joined");
+        // All were sent within the notice that the balancer gets.
+        assert_eq!(answer.expect("an answer").body, body);
+    }
+    assert!(stage.wait_gateway_end(0).expect("ended").success());
+    stage.close().await;
+}
