Let urgent work displace borrowed work that is not urgent

It now names borrowed, non-urgent gangs with the least lost work, which checkpoint and stop, and it is placed on the freed cells, which a reservation keeps for it meanwhile. Guaranteed and urgent work is never displaced; while cells are being cleared nothing more is.

--- a/src/journal/fold.rs
+++ b/src/journal/fold.rs
@@ -82,6 +82,7 @@
             RecordBody::Worker(worker) => self.apply_worker(worker),
             RecordBody::Probation(slot) => self.apply_probation(*slot),
             RecordBody::Place(place) => self.apply_place(offset, place),
+            RecordBody::Evict(evict) => self.apply_evict(offset, evict),
             RecordBody::Reject(reject) => self.apply_reject(offset, reject),
             RecordBody::Tasks(reports) => self.apply_tasks(offset, reports),
             RecordBody::Intent(intent) => self.apply_intent(offset, intent),
--- a/src/journal/fold_place.rs
+++ b/src/journal/fold_place.rs
@@ -1,6 +1,6 @@
 //! Folds placements: checks that they are still valid, then takes the cells.
 
-use crate::journal::record::{AttemptRef, PlaceRecord};
+use crate::journal::record::{AttemptRef, EvictRecord, PlaceRecord};
 use crate::journal::state::FoldState;
 use crate::tables::cell::{CellSpan, WORKER_STRIDE};
 use crate::tables::job::{
@@ -246,10 +246,34 @@
         tasks
     }
 
+    pub(crate) fn apply_evict(&mut self, offset: u64, evict: &EvictRecord) -> Result<(), String> {
+        let job = self.jobs.find(&evict.job);
+        let urgent = job.is_some_and(|job| job.state == JobState::Waiting && job.spec.urgent);
+        if !urgent {
+            return Err("no urgent job waits".to_owned());
+        }
+        if evict.victims.is_empty() || !evict.victims.iter().all(|victim| self.may_evict(victim)) {
+            return Err("a victim has ended, is urgent or is inside its guarantee".to_owned());
+        }
+        for victim in &evict.victims {
+            self.evict(offset, victim, &evict.job);
+        }
+        Ok(())
+    }
+
+    fn may_evict(&self, victim: &AttemptRef) -> bool {
+        let job = self.jobs.find(&victim.job).filter(|job| !job.spec.urgent);
+        let attempt = job.and_then(JobRow::attempt);
+        attempt.is_some_and(|attempt| {
+            let stopping = matches!(attempt.phase, AttemptPhase::Stopping(_));
+            attempt.number == victim.attempt && !attempt.guaranteed && !stopping
+        })
+    }
+
     fn evict(&mut self, offset: u64, victim: &AttemptRef, for_job: &ObjectName) {
         let now_ms = self.now_ms;
         if let Some(job) = self.jobs.find_mut(&victim.job) {
-            let text = format!("told to checkpoint and stop: job {for_job} reclaims its guarantee");
+            let text = format!("told to checkpoint and stop: job {for_job} takes its cells");
             job.note(now_ms, offset, text);
             let running = !matches!(
                 job.attempt().map(|attempt| attempt.phase),
--- a/src/journal/record.rs
+++ b/src/journal/record.rs
@@ -51,6 +51,8 @@
     Probation(WorkerSlot),
     /// A job is given cells.
     Place(PlaceRecord),
+    /// Borrowed work makes room for an urgent job.
+    Evict(EvictRecord),
     /// A job can never run.
     Reject(RejectRecord),
     /// Tasks changed state.
@@ -75,6 +77,7 @@
             Self::Worker(_) => "worker",
             Self::Probation(_) => "probation",
             Self::Place(_) => "place",
+            Self::Evict(_) => "evict",
             Self::Reject(_) => "reject",
             Self::Tasks(_) => "tasks",
             Self::Intent(_) => "intent",
@@ -93,6 +96,7 @@
             Self::Worker(worker) => format!("worker {}", worker.name),
             Self::Probation(slot) => format!("rack {} position {}", slot.rack, slot.position),
             Self::Place(place) => format!("job {} attempt {}", place.job, place.attempt),
+            Self::Evict(evict) => format!("room for job {}", evict.job),
             Self::Reject(reject) => format!("job {}", reject.job),
             Self::Tasks(reports) => subject_of_tasks(reports),
             Self::Intent(intent) => format!("key {}/{}", intent.team, intent.key),
@@ -170,6 +174,15 @@
     pub victims: Vec<AttemptRef>,
 }
 
+/// Room for an urgent job beyond its team's guarantee.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvictRecord {
+    /// The urgent job; it waits until the cells are free.
+    pub job: ObjectName,
+    /// Borrowed attempts that must leave; none of them urgent.
+    pub victims: Vec<AttemptRef>,
+}
+
 /// Names one attempt of a job.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct AttemptRef {
--- a/src/systems/borrow.rs
+++ b/src/systems/borrow.rs
@@ -4,7 +4,7 @@
 use crate::systems::order::expected_end_ms;
 use crate::systems::policy::PolicySettings;
 use crate::tables::cell::CellSpan;
-use crate::tables::job::{JobRow, JobSpec};
+use crate::tables::job::{AttemptPhase, JobRow, JobSpec};
 use crate::tables::name::ObjectName;
 use crate::tables::rack::{CellChoice, RackRow, push_cells};
 
@@ -142,7 +142,10 @@
 fn held_ends(state: &FoldState, domain: &ObjectName) -> Vec<HeldEnd> {
     let mut ends = Vec::new();
     for (job, attempt) in state.jobs.active() {
-        let end_ms = expected_end_ms(state, job);
+        let end_ms = match attempt.phase {
+            AttemptPhase::Stopping(_) => state.now_ms,
+            _ => expected_end_ms(state, job),
+        };
         let own = attempt.cells.iter().filter(|span| {
             let row = state.racks.row(span.rack);
             row.is_some_and(|row| row.domain == *domain)
--- a/src/systems/claim.rs
+++ b/src/systems/claim.rs
@@ -1,11 +1,11 @@
 //! Chooses cells inside a team's guarantee and the borrowed work that must leave them.
 
-use crate::journal::record::PlaceRecord;
+use crate::journal::record::{EvictRecord, PlaceRecord};
 use crate::journal::state::FoldState;
 use crate::systems::borrow::domains_for;
 use crate::systems::order::eviction_loss;
 use crate::tables::cell::{CellShape, CellSpan, LevelCounts};
-use crate::tables::job::JobRow;
+use crate::tables::job::{AttemptPhase, AttemptRow, JobRow};
 use crate::tables::name::ObjectName;
 use crate::tables::rack::{RackRow, push_cells};
 
@@ -36,6 +36,53 @@
     })
 }
 
+/// Returns which borrowed work should make room for an urgent job beyond its guarantee:
+/// least lost work first, never urgent work, and nothing while cells are being cleared.
+pub fn choose_evictions(state: &FoldState, job: &JobRow) -> Option<EvictRecord> {
+    let domains = domains_for(state, &job.spec);
+    let rooms = domains
+        .iter()
+        .filter_map(|domain| cheapest_room(state, job, domain));
+    let (_, cells) = rooms.min_by_key(|(loss, _)| *loss)?;
+    let mut victims = state.overlapping(&cells);
+    victims.retain(|victim| {
+        let attempt = state.attempt_of(&victim.job);
+        attempt.is_some_and(|attempt| !is_stopping(attempt))
+    });
+    (!victims.is_empty()).then(|| EvictRecord {
+        job: job.spec.id.clone(),
+        victims,
+    })
+}
+
+fn is_stopping(attempt: &AttemptRow) -> bool {
+    matches!(attempt.phase, AttemptPhase::Stopping(_))
+}
+
+/// Finds the cells of a failure domain whose clearing loses the least work.
+fn cheapest_room(
+    state: &FoldState,
+    job: &JobRow,
+    domain: &ObjectName,
+) -> Option<(u64, Vec<CellSpan>)> {
+    let open = |row: &RackRow| row.usable & !row.hard;
+    let losses = LossTable::new(state, domain);
+    let choices = state.racks.list_cells(domain, job.spec.shape, open);
+    let mut rooms: Vec<(u64, CellSpan)> = choices
+        .iter()
+        .map(|choice| (losses.of(&choice.span), choice.span))
+        .filter(|(loss, _)| *loss < NEVER_EVICTED)
+        .collect();
+    rooms.sort_unstable();
+    rooms.truncate(job.spec.count as usize);
+    let whole = rooms.len() == job.spec.count as usize;
+    let loss = rooms
+        .iter()
+        .map(|(loss, _)| *loss)
+        .fold(0, u64::saturating_add);
+    whole.then(|| (loss, rooms.into_iter().map(|(_, span)| span).collect()))
+}
+
 fn draft_claim(state: &FoldState, job: &JobRow, domain: &ObjectName) -> Option<ClaimDraft> {
     let team = state.teams.find(&job.spec.team)?;
     let shape = job.spec.shape;
@@ -123,6 +170,8 @@
     loss: u64,
 }
 
+/// Loss of what no urgent job may evict: urgent work.
+const NEVER_EVICTED: u64 = u64::MAX;
 /// Weight of evicting work of a team that holds no more than its guarantees.
 const ENTITLED_WEIGHT: u64 = 8;
 
@@ -173,8 +222,14 @@
                 let row = state.racks.row(span.rack);
                 row.is_some_and(|row| row.domain == *domain)
             });
-            let loss = eviction_loss(job, state.now_ms)
-                .saturating_mul(entitled_weight(state, &holds, job));
+            let loss = match (is_stopping(attempt), job.spec.urgent) {
+                // It leaves already.
+                (true, _) => 0,
+                (false, true) => NEVER_EVICTED,
+                _ => eviction_loss(job, state.now_ms)
+                    .saturating_mul(entitled_weight(state, &holds, job))
+                    .min(NEVER_EVICTED - 1),
+            };
             rows.extend(inside.map(|span| LossRow { span: *span, loss }));
         }
         rows.sort_by_key(|row| row.span.rack);
--- a/src/systems/plan.rs
+++ b/src/systems/plan.rs
@@ -5,7 +5,7 @@
 use crate::journal::state::FoldState;
 use crate::systems::borrow::{ReservationTable, choose_borrowed, reserve_cells};
 use crate::systems::capacity::CapacityTable;
-use crate::systems::claim::choose_guaranteed;
+use crate::systems::claim::{choose_evictions, choose_guaranteed};
 use crate::systems::order::order_waiting;
 use crate::systems::policy::PolicySettings;
 use crate::tables::audit::AuditTable;
@@ -108,7 +108,10 @@
             self.accept(RecordBody::Reject(RejectRecord { job, reason }), result);
             return;
         }
-        let known_to_fail = self.has_failed(&job.spec, true) && self.has_failed(&job.spec, false);
+        // Urgent work is searched for even so: it may make room.
+        let known_to_fail = !job.spec.urgent
+            && self.has_failed(&job.spec, true)
+            && self.has_failed(&job.spec, false);
         if known_to_fail {
             self.reserve(job);
             return;
@@ -117,10 +120,23 @@
         if let Some(place) = self.search(job) {
             self.accept(RecordBody::Place(place), result);
         } else {
+            self.make_room(job, result);
             self.reserve(job);
         }
     }
 
+    /// Urgent work beyond its team's guarantee displaces borrowed work that is not urgent.
+    fn make_room(&mut self, job: &JobRow, result: &mut PlanResult) {
+        let team = self.scratch.teams.find(&job.spec.team);
+        let may_borrow = team.is_some_and(|row| row.spec.may_borrow);
+        if !job.spec.urgent || !may_borrow {
+            return;
+        }
+        if let Some(evict) = choose_evictions(&self.scratch, job) {
+            self.accept(RecordBody::Evict(evict), result);
+        }
+    }
+
     /// Free cells of the guarantee go first, then borrowed ones; only then, or for urgent
     /// work, is borrowed work evicted.
     fn search(&mut self, job: &JobRow) -> Option<PlaceRecord> {
