--- a/src/systems/policy.rs
+++ b/src/systems/policy.rs
@@ -14,7 +14,7 @@
     /// Wait after which a job goes before all that are not urgent, in ms; default 14400000.
     pub starvation_ms: u64,
     /// Wait that halves a job's expected run time in the order of the queue, in ms;
-    /// default 14400000.
+    /// default 1800000.
     pub ageing_ms: u64,
     /// Wait after which a blocked gang gets a reservation, in ms; default 3600000.
     pub reservation_ms: u64,
@@ -33,7 +33,7 @@
             completion_weight: 50,
             fragmentation_weight: 50,
             starvation_ms: 14_400_000,
-            ageing_ms: 14_400_000,
+            ageing_ms: 1_800_000,
             reservation_ms: 3_600_000,
             checkpoint_grace_ms: 2_000,
             reject_after_ms: 3_000,
