Take the square of the workers out of the keeper's tick

Cause, by reading with the slopes in hand: each 50 ms tick compared the host list with all workers by linear search, hashed every worker over the hosts, and encoded every order to compare its digest. Lists are now sorted and searched by halves, workers are divided only when the live hosts change or a heartbeat has passed, and digests are kept until the state changes.

--- a/src/daemons/host_book.rs
+++ b/src/daemons/host_book.rs
@@ -25,7 +25,7 @@
 pub struct HostRoster {
     /// Entry hosts, sorted by name.
     pub entry: Vec<EntryHost>,
-    /// Workers.
+    /// Workers, sorted by name.
     pub workers: Vec<WorkerRecord>,
     /// Runners, sorted by name.
     pub runners: Vec<RunnerView>,
@@ -40,6 +40,9 @@
                 log::warn!("hosts: entry {:?} cannot be read.", entry.name);
             }
         }
+        roster
+            .workers
+            .sort_by(|one, other| one.name.cmp(&other.name));
         roster.entry.sort_by(|one, other| one.name.cmp(&other.name));
         roster
             .runners
--- a/src/daemons/keeper.rs
+++ b/src/daemons/keeper.rs
@@ -1,6 +1,5 @@
 //! Keeps workers: sends them their orders, renews their leases, records their answers.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::mpsc;
@@ -40,6 +39,8 @@
     seen: u64,
     /// Whether the last message had no answer.
     failed: bool,
+    /// Digest of the orders it should have.
+    digest: u64,
     /// Digest of the orders it confirmed.
     confirmed: Option<u64>,
     /// When its lost tasks were first seen here.
@@ -70,10 +71,16 @@
 struct Keeper {
     context: SharedContext,
     rows: Vec<KeeperRow>,
-    orders: Arc<OrderTable>,
+    orders: OrderTable,
     answers: mpsc::Sender<KeeperAnswer>,
     /// When this host last looked after its workers.
     watched: Instant,
+    /// Whether the state has changed since the orders were derived.
+    stale: bool,
+    /// Live hosts when the workers were last divided among them.
+    live: Vec<ObjectName>,
+    /// When that was.
+    divided: Option<Instant>,
     topology: Option<oneshot::Receiver<AppendOutcome>>,
 }
 
@@ -87,26 +94,50 @@
     let mut keeper = Keeper {
         context,
         rows: Vec::new(),
-        orders: Arc::new(OrderTable::default()),
+        orders: OrderTable::default(),
         answers: sender,
         watched: Instant::now(),
+        stale: true,
+        live: Vec::new(),
+        divided: None,
         topology: None,
     };
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
             Some(answer) = answers.recv() => keeper.take_answer(answer),
-            Ok(()) = version.changed() => keeper.refresh_orders(),
+            Ok(()) = version.changed() => keeper.stale = true,
         }
         keeper.tick();
     }
 }
 
 impl Keeper {
+    /// Derives the orders anew after a change of the state.
     fn refresh_orders(&mut self) {
+        if !std::mem::take(&mut self.stale) {
+            return;
+        }
         let grace_ms = self.context.settings.raw.policy.checkpoint_grace_ms;
-        let state = self.context.view.state();
-        self.orders = Arc::new(OrderTable::derive(&state, grace_ms));
+        self.orders = OrderTable::derive(&self.context.view.state(), grace_ms);
+        for row in &mut self.rows {
+            row.digest = digest_of(self.orders.for_worker(row.slot));
+        }
+    }
+
+    /// Divides the workers anew when the live hosts changed, and now and then for news
+    /// of the workers themselves.
+    fn divide_workers(&mut self) {
+        let live = self.context.live_hosts();
+        let pause = self.context.settings.timing.heartbeat;
+        let fresh = self.divided.is_some_and(|at| at.elapsed() < pause);
+        if fresh && live == self.live {
+            return;
+        }
+        self.refresh_rows(&live);
+        self.report_topology(&live);
+        self.live = live;
+        self.divided = Some(Instant::now());
     }
 
     fn tick(&mut self) {
@@ -118,9 +149,8 @@
         if silence > self.context.settings.timing.renew_without_log {
             return;
         }
-        let live = self.context.live_hosts();
-        self.refresh_rows(&live);
-        self.report_topology(&live);
+        self.refresh_orders();
+        self.divide_workers();
         for index in 0..self.rows.len() {
             self.keep(index);
         }
@@ -136,14 +166,17 @@
         log::warn!("keeper: this host was paused for {} ms.", pause.as_millis());
         for row in &mut self.rows {
             let pending = row.pending.take();
+            let digest = row.digest;
             *row = KeeperRow::new(row.slot, row.name.clone());
             row.pending = pending;
+            row.digest = digest;
         }
     }
 
     /// Takes up the workers that the hint gives to this host and drops the others.
     fn refresh_rows(&mut self, live: &[ObjectName]) {
         let state = self.context.view.state();
+        // Both the workers and the rows are sorted by place.
         let mut kept = Vec::with_capacity(self.rows.len());
         let mut old: Vec<KeeperRow> = std::mem::take(&mut self.rows);
         for (slot, worker) in state.racks.workers() {
@@ -152,10 +185,12 @@
                 continue;
             }
             let same = |row: &KeeperRow| row.slot == slot && row.name == worker.name;
-            match old.iter().position(same) {
-                Some(index) => kept.push(old.swap_remove(index)),
-                None => kept.push(KeeperRow::new(slot, worker.name.clone())),
-            }
+            let mut row = match old.binary_search_by_key(&slot, |row| row.slot) {
+                Ok(index) if same(&old[index]) => old.remove(index),
+                _ => KeeperRow::new(slot, worker.name.clone()),
+            };
+            row.digest = digest_of(self.orders.for_worker(slot));
+            kept.push(row);
         }
         drop(state);
         self.rows = kept;
@@ -264,8 +299,7 @@
     fn send_if_due(&mut self, index: usize) {
         let timing = &self.context.settings.timing;
         let row = &self.rows[index];
-        let orders = self.orders.for_worker(row.slot);
-        let digest = digest_of(orders);
+        let digest = row.digest;
         let changed = row.confirmed != Some(digest);
         let busy = match changed {
             true => row.ordering,
@@ -274,6 +308,7 @@
         if busy || !is_due(row, timing, changed) {
             return;
         }
+        let orders = self.orders.for_worker(row.slot);
         let sent: Vec<_> = orders.iter().map(|order| order.order.clone()).collect();
         let request = SyncRequest {
             lease_ms: timing.lease.as_millis() as u64,
@@ -324,7 +359,7 @@
     }
 
     fn take_answer(&mut self, taken: KeeperAnswer) {
-        let Some(index) = self.rows.iter().position(|row| row.slot == taken.slot) else {
+        let Ok(index) = self.rows.binary_search_by_key(&taken.slot, |row| row.slot) else {
             return;
         };
         let row = &mut self.rows[index];
@@ -379,6 +414,7 @@
             polling: false,
             seen: 0,
             failed: false,
+            digest: 0,
             confirmed: None,
             lost: None,
             pending: None,
--- a/src/systems/topology.rs
+++ b/src/systems/topology.rs
@@ -2,32 +2,47 @@
 
 use crate::journal::record::{RecordBody, WorkerRecord};
 use crate::journal::state::FoldState;
+use crate::tables::name::ObjectName;
 use crate::tables::rack::WorkerSlot;
 use crate::tables::worker::{WorkerRow, WorkerState};
 
+/// A folded worker's name and place.
+struct NamedSlot<'a> {
+    name: &'a ObjectName,
+    slot: WorkerSlot,
+}
+
 /// Returns records that bring the folded workers up to the host list.
 ///
-/// `down` names workers whose keeper gets no answer.
+/// `listed` is sorted by name, `down` by place; `down` names workers whose keeper gets
+/// no answer.
 pub fn compare_hosts(
     state: &FoldState,
     listed: &[WorkerRecord],
     down: &[WorkerSlot],
 ) -> Vec<RecordBody> {
     let mut records = Vec::new();
+    let mut known: Vec<NamedSlot<'_>> = Vec::new();
     for (slot, worker) in state.racks.workers() {
-        let seen = listed.iter().find(|seen| seen.name == worker.name);
-        if seen.is_none() && worker.state != WorkerState::Gone {
+        if worker.state == WorkerState::Gone {
+            continue;
+        }
+        let name = &worker.name;
+        known.push(NamedSlot { name, slot });
+        if listed.binary_search_by(|seen| seen.name.cmp(name)).is_err() {
             records.extend(gone_record(state, slot, worker));
         }
     }
+    known.sort_by_key(|row| row.name);
     for seen in listed {
-        let slot = state.racks.find_worker(&seen.name);
+        let found = known.binary_search_by(|row| row.name.cmp(&seen.name));
+        let slot = found.ok().map(|index| known[index].slot);
         let mut wanted = seen.clone();
-        if slot.is_some_and(|slot| down.contains(&slot)) {
+        if slot.is_some_and(|slot| down.binary_search(&slot).is_ok()) {
             wanted.state = WorkerState::Down;
         }
-        let known = slot.and_then(|slot| state.racks.worker(slot));
-        if known.is_none_or(|worker| differs(worker, &wanted)) {
+        let worker = slot.and_then(|slot| state.racks.worker(slot));
+        if worker.is_none_or(|worker| differs(worker, &wanted)) {
             records.push(RecordBody::Worker(wanted));
         }
     }
--- a/src/tables/rack.rs
+++ b/src/tables/rack.rs
@@ -6,7 +6,7 @@
     CELL_LEVELS, CellShape, CellSpan, LevelCounts, WORKER_STRIDE, full_cells,
 };
 use crate::tables::name::ObjectName;
-use crate::tables::worker::{WorkerRow, WorkerState};
+use crate::tables::worker::WorkerRow;
 
 /// A rack's row number; rows are only ever added, so it never changes.
 pub type RackId = u32;
@@ -135,14 +135,6 @@
         })
     }
 
-    /// Finds a worker by name.
-    pub fn find_worker(&self, name: &ObjectName) -> Option<WorkerSlot> {
-        let mut workers = self.workers();
-        workers
-            .find(|(_, worker)| worker.name == *name && worker.state != WorkerState::Gone)
-            .map(|(slot, _)| slot)
-    }
-
     /// Returns the failure domains, sorted.
     pub fn domains(&self) -> Vec<ObjectName> {
         let mut domains: Vec<_> = self.rows.iter().map(|row| row.domain.clone()).collect();
