Stop a gang's rest by the hosts' word while the log is down

Keepers now tell their peers by heartbeat which attempts lost a worker, and while the log is silent these stop everywhere by that word; the stop is final at the worker, and is recorded when the log is back. While the log answers, it decides.

--- a/src/daemons/context.rs
+++ b/src/daemons/context.rs
@@ -1,11 +1,12 @@
 //! What all parts of the scheduler share.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use crate::daemons::host_book::HostBook;
 use crate::daemons::peer_book::PeerBook;
 use crate::journal::client::HttpLog;
+use crate::journal::record::AttemptRef;
 use crate::journal::tail::{JournalStreams, JournalView, TailStatus};
 use crate::journal::writer::JournalWriter;
 use crate::settings::scheduler::SchedulerSettings;
@@ -34,6 +35,8 @@
     pub peers: PeerBook,
     /// Whether this host is shutting down.
     pub draining: AtomicBool,
+    /// Attempts that this host's keeper finds lost, sorted.
+    pub lost: Mutex<Vec<AttemptRef>>,
 }
 
 /// The context as it is passed around.
@@ -68,9 +71,34 @@
             folded: state.next_offset,
             ticket: state.tickets.highest,
             draining: self.is_draining(),
+            lost: self.own_lost(),
         }
     }
 
+    fn own_lost(&self) -> Vec<AttemptRef> {
+        let lost = self.lost.lock().unwrap_or_else(PoisonError::into_inner);
+        lost.clone()
+    }
+
+    /// Notes which attempts this host's keeper finds lost.
+    pub fn set_lost(&self, lost: Vec<AttemptRef>) {
+        *self.lost.lock().unwrap_or_else(PoisonError::into_inner) = lost;
+    }
+
+    /// Returns the attempts that any live host finds lost, sorted; none while the log
+    /// answers, since it then decides.
+    pub fn lost_without_log(&self) -> Vec<AttemptRef> {
+        let silence = self.view.silence().unwrap_or_default();
+        if silence < self.settings.timing.lost_after {
+            return Vec::new();
+        }
+        let mut lost = self.own_lost();
+        lost.extend(self.peers.lost(self.settings.timing.peer_dead));
+        lost.sort();
+        lost.dedup();
+        lost
+    }
+
     /// Returns the names of the entry hosts believed live, sorted; always with this one
     /// unless it is shutting down.
     pub fn live_hosts(&self) -> Vec<ObjectName> {
--- a/src/daemons/keeper.rs
+++ b/src/daemons/keeper.rs
@@ -8,7 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::daemons::context::SharedContext;
-use crate::journal::record::{RecordBody, WorkerRecord};
+use crate::journal::record::{AttemptRef, RecordBody, WorkerRecord};
 use crate::journal::writer::AppendOutcome;
 use crate::routing::verdict::CallFailure;
 use crate::settings::scheduler::TimingSettings;
@@ -77,6 +77,8 @@
     watched: Instant,
     /// Whether the state has changed since the orders were derived.
     stale: bool,
+    /// Attempts stopped by the hosts' word alone.
+    stopped: Vec<AttemptRef>,
     /// Live hosts when the workers were last divided among them.
     live: Vec<ObjectName>,
     /// When that was.
@@ -98,6 +100,7 @@
         answers: sender,
         watched: Instant::now(),
         stale: true,
+        stopped: Vec::new(),
         live: Vec::new(),
         divided: None,
         topology: None,
@@ -115,11 +118,14 @@
 impl Keeper {
     /// Derives the orders anew after a change of the state.
     fn refresh_orders(&mut self) {
-        if !std::mem::take(&mut self.stale) {
+        let lost = self.context.lost_without_log();
+        if lost == self.stopped && !self.stale {
             return;
         }
+        self.stale = false;
+        self.stopped = lost;
         let grace_ms = self.context.settings.raw.policy.checkpoint_grace_ms;
-        self.orders = OrderTable::derive(&self.context.view.state(), grace_ms);
+        self.orders = OrderTable::derive(&self.context.view.state(), &self.stopped, grace_ms);
         for row in &mut self.rows {
             row.digest = digest_of(self.orders.for_worker(row.slot));
         }
@@ -151,6 +157,7 @@
         }
         self.refresh_orders();
         self.divide_workers();
+        self.note_lost();
         for index in 0..self.rows.len() {
             self.keep(index);
         }
@@ -237,6 +244,25 @@
         self.send_if_due(index);
     }
 
+    /// Tells the peers, by heartbeat, which attempts lost a worker. An attempt stopped
+    /// by word alone stays so until the log is back.
+    fn note_lost(&self) {
+        let lost_after = self.context.settings.timing.lost_after;
+        let silent = self
+            .rows
+            .iter()
+            .filter(|row| row.heard.elapsed() > lost_after);
+        let orders = silent.flat_map(|row| self.orders.for_worker(row.slot));
+        let mut lost: Vec<AttemptRef> = self.stopped.clone();
+        lost.extend(orders.map(|order| AttemptRef {
+            job: order.job.clone(),
+            attempt: order.attempt,
+        }));
+        lost.sort();
+        lost.dedup();
+        self.context.set_lost(lost);
+    }
+
     fn report_lost(&mut self, index: usize) {
         let row = &self.rows[index];
         if row.heard.elapsed() > self.context.settings.timing.lost_after {
--- a/src/daemons/peer_book.rs
+++ b/src/daemons/peer_book.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 
+use crate::journal::record::AttemptRef;
 use crate::tables::name::ObjectName;
 use crate::wire::peer::HeartbeatMessage;
 
@@ -44,6 +45,14 @@
         found.ok().map(|index| rows[index].clone())
     }
 
+    /// Returns the attempts that peers heard of within `dead` find lost.
+    pub fn lost(&self, dead: Duration) -> Vec<AttemptRef> {
+        let rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
+        let live = rows.iter().filter(|row| row.heard.elapsed() < dead);
+        live.flat_map(|row| row.heartbeat.lost.iter().cloned())
+            .collect()
+    }
+
     /// Returns whether a peer was heard of within `dead` and is not shutting down.
     pub fn is_live(&self, host: &ObjectName, dead: Duration) -> bool {
         let row = self.find(host);
--- a/src/daemons/scheduler.rs
+++ b/src/daemons/scheduler.rs
@@ -1,8 +1,8 @@
 //! Starts and stops the scheduler.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use dropshot::{ConfigDropshot, HttpServer, ServerBuilder};
@@ -116,6 +116,7 @@
         hosts: HostBook::default(),
         peers: PeerBook::default(),
         draining: AtomicBool::new(false),
+        lost: Mutex::default(),
     })
 }
 
--- a/src/systems/keep.rs
+++ b/src/systems/keep.rs
@@ -1,6 +1,6 @@
 //! What each worker should be doing, and what its answers mean for the journal.
 
-use crate::journal::record::TaskReport;
+use crate::journal::record::{AttemptRef, TaskReport};
 use crate::journal::state::FoldState;
 use crate::tables::job::{AttemptPhase, AttemptRow, JobRow, StopCause, TaskRow, TaskState};
 use crate::tables::name::ObjectName;
@@ -32,12 +32,19 @@
 }
 
 impl OrderTable {
-    /// Derives the orders from the folded state.
-    pub fn derive(state: &FoldState, grace_ms: u64) -> Self {
+    /// Derives the orders from the folded state. Attempts in `lost` (sorted) are stopped
+    /// whatever the journal says: the log cannot be asked.
+    pub fn derive(state: &FoldState, lost: &[AttemptRef], grace_ms: u64) -> Self {
         let mut rows = Vec::new();
         for (job, attempt) in state.jobs.active() {
-            for (index, task) in attempt.tasks.iter().enumerate() {
-                rows.extend(order_row(job, attempt, index, task, grace_ms));
+            if is_lost(lost, job, attempt) {
+                let stopped = AttemptRow {
+                    phase: AttemptPhase::Stopping(StopCause::WorkerLost),
+                    ..attempt.clone()
+                };
+                push_orders(job, &stopped, grace_ms, &mut rows);
+            } else {
+                push_orders(job, attempt, grace_ms, &mut rows);
             }
         }
         rows.sort_by_key(|row| row.slot);
@@ -52,6 +59,19 @@
     }
 }
 
+fn is_lost(lost: &[AttemptRef], job: &JobRow, attempt: &AttemptRow) -> bool {
+    let key = (&job.spec.id, attempt.number);
+    let holds = attempt.phase != AttemptPhase::Reclaiming;
+    let found = lost.binary_search_by(|row| (&row.job, row.attempt).cmp(&key));
+    holds && found.is_ok()
+}
+
+fn push_orders(job: &JobRow, attempt: &AttemptRow, grace_ms: u64, rows: &mut Vec<OrderRow>) {
+    for (index, task) in attempt.tasks.iter().enumerate() {
+        rows.extend(order_row(job, attempt, index, task, grace_ms));
+    }
+}
+
 fn order_row(
     job: &JobRow,
     attempt: &AttemptRow,
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::journal::record::{IntentRecord, OutcomeRecord};
+use crate::journal::record::{AttemptRef, IntentRecord, OutcomeRecord};
 use crate::reports::row::ReportView;
 use crate::routing::verdict::CallFailure;
 use crate::tables::audit::AuditRow;
@@ -42,6 +42,10 @@
     pub ticket: u64,
     /// Whether it takes no new work because it is shutting down.
     pub draining: bool,
+    /// Attempts with a task on a worker that gives this host no answer, sorted. While the
+    /// log is silent they stop everywhere by this word alone.
+    #[serde(default)]
+    pub lost: Vec<AttemptRef>,
 }
 
 /// A call to a scheduler.
--- a/standins/src/bin/slopes.rs
+++ b/standins/src/bin/slopes.rs
@@ -165,6 +165,7 @@
             folded: 123_456_789,
             ticket: 12_345,
             draining: false,
+            lost: Vec::new(),
         })),
     };
     ciborium::into_writer(&frame, &mut beat).expect("encoded");
@@ -240,7 +241,7 @@
     );
     println!("  resident memory of this process {:.1} MB", resident_mb());
     let mut orders = OrderTable::default();
-    let derive_ms = milliseconds(|| orders = OrderTable::derive(&bench.state, 2_000));
+    let derive_ms = milliseconds(|| orders = OrderTable::derive(&bench.state, &[], 2_000));
     println!(
         "  orders of {} tasks derived in {derive_ms:.2} ms",
         orders.rows.len()
--- a/tests/process_failures.rs
+++ b/tests/process_failures.rs
@@ -263,6 +263,51 @@
     close(stage).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_worker_stops_its_gang_also_while_the_log_is_down() {
+    let stage = start("silent_log_down").await;
+    let job = gang("gang", "photos", 8, 3, "run 20000");
+    stage.post(0, "/jobs", &job).await.expect("job");
+    stage
+        .wait_job(1, "gang", "running")
+        .await
+        .expect("gang runs");
+    for switch in [&stage.log.append_fault, &stage.log.read_fault] {
+        switch.set(fault(FaultMode::Down, 0, 0));
+    }
+    let used = stage
+        .workers
+        .iter()
+        .position(|(worker, _)| !worker.runs().is_empty());
+    let silent = &stage.workers[used.expect("a used worker")].0;
+    silent.fault.set(fault(FaultMode::Silent, 0, 0));
+    let stopped = || {
+        let runs = stage.workers.iter().flat_map(|(worker, _)| worker.runs());
+        runs.filter(|run| run.ended_ms.is_some()).count()
+    };
+    // The silent worker's lease of 3 s, and as long for the others to be told.
+    let until = Instant::now() + Duration::from_secs(8);
+    while stopped() < 3 && Instant::now() < until {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(
+        stopped(),
+        3,
+        "the whole gang stopped while the log was down"
+    );
+    for switch in [&stage.log.append_fault, &stage.log.read_fault] {
+        switch.set(FaultSetting::default());
+    }
+    // "running" alone would be the state from before the outage.
+    standins::stage::wait_for("the second attempt runs", || async {
+        let shown = stage.get(0, "/jobs/gang").await;
+        shown.is_ok_and(|job| job["attempts"] == 2 && job["state"] == "running")
+    })
+    .await
+    .expect("it runs again");
+    close(stage).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_worker_that_fails_every_task_is_quarantined() {
     let stage = start("quarantine").await;
--- a/tests/support/fold.rs
+++ b/tests/support/fold.rs
@@ -157,7 +157,7 @@
     /// Lets workers obey their orders; each does so with probability `obey`, and each
     /// running task ends with probability `end`, one in `fail` of these with a fault.
     pub fn work(&mut self, random: &mut ChaCha8Rng, obey: f64, end: f64, fail: u32) {
-        let orders = OrderTable::derive(&self.state, 0);
+        let orders = OrderTable::derive(&self.state, &[], 0);
         let mut reports = Vec::new();
         for row in &orders.rows {
             if !random.random_bool(obey) {
