Refuse calls at a scheduler that is shutting down

Cause, found by a test that failed first (a scheduler shut down under load hands its work over): the scheduler stopped following the log, then waited up to drain_ms (30 s) for its peers' connections, which never end, and went on answering its gateway from a state that no longer moved: a finished job stayed 'running'. Its log showed 'shuts down' and never 'has stopped'. Ruled out: the takeover (the other host had recorded the finish). It now refuses calls with 'not run', so that gateways ask the next scheduler, waits for calls under way, and closes connections after 200 ms.

--- a/src/daemons/calls.rs
+++ b/src/daemons/calls.rs
@@ -32,6 +32,7 @@
     if let PeerCall::Routing = call {
         return Ok(PeerReply::Routing(routing_view(context)));
     }
+    let _running = context.calls.enter();
     check_ready(context)?;
     match call {
         PeerCall::Submit(job) => submit(context, job).await,
@@ -44,6 +45,10 @@
 }
 
 fn check_ready(context: &SharedContext) -> Result<(), CallFailure> {
+    if context.is_draining() {
+        // Its state no longer follows the log; another host's does.
+        return Err(CallFailure::not_run(503, "the scheduler is shutting down"));
+    }
     match context.view.status() {
         TailStatus::Current => Ok(()),
         TailStatus::Starting => {
--- a/src/daemons/context.rs
+++ b/src/daemons/context.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
+use crate::daemons::call_count::CallCount;
 use crate::daemons::host_book::HostBook;
 use crate::daemons::peer_book::PeerBook;
 use crate::journal::client::HttpLog;
@@ -35,6 +36,8 @@
     pub peers: PeerBook,
     /// Whether this host is shutting down.
     pub draining: AtomicBool,
+    /// Calls under way.
+    pub calls: CallCount,
     /// Attempts that this host's keeper finds lost, sorted.
     pub lost: Mutex<Vec<AttemptRef>>,
 }
--- a/src/daemons/mod.rs
+++ b/src/daemons/mod.rs
@@ -1,5 +1,6 @@
 //! Wiring of the daemons: tasks, servers, shutdown.
 
+pub mod call_count;
 pub mod calls;
 pub mod context;
 pub mod gateway;
--- a/src/daemons/scheduler.rs
+++ b/src/daemons/scheduler.rs
@@ -9,7 +9,9 @@
 use eyre::{Report, eyre};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
+use crate::daemons::call_count::CallCount;
 use crate::daemons::context::{SchedulerContext, SharedContext};
 use crate::daemons::host_book::HostBook;
 use crate::daemons::http_reply::server_logger;
@@ -27,6 +29,8 @@
 
 /// Largest body that the scheduler's HTTP interface takes, in bytes.
 const BODY_MAX_BYTES: usize = 1_024;
+/// Time to close connections once no call is under way, in ms.
+const CLOSE_MS: u64 = 200;
 /// Heartbeats that tell the peers of a shutdown before the process ends.
 const FAREWELL_BEATS: u32 = 3;
 
@@ -80,10 +84,15 @@
         self.context.draining.store(true, Ordering::Relaxed);
         log::info!("scheduler: shuts down.");
         let timing = &self.context.settings.timing;
+        let end = Instant::now() + timing.drain;
         let farewell = timing.heartbeat * FAREWELL_BEATS;
         tokio::time::sleep(farewell.min(timing.drain)).await;
+        while self.context.calls.count() > 0 && Instant::now() < end {
+            tokio::time::sleep(timing.tick).await;
+        }
         self.tasks.shutdown().await;
-        let limit = timing.drain.max(Duration::from_millis(1));
+        // Peers keep their connections open for as long as they are let.
+        let limit = Duration::from_millis(CLOSE_MS);
         let _ = tokio::time::timeout(limit, self.server.close()).await;
         log::info!("scheduler: has stopped.");
     }
@@ -116,6 +125,7 @@
         hosts: HostBook::default(),
         peers: PeerBook::default(),
         draining: AtomicBool::new(false),
+        calls: CallCount::default(),
         lost: Mutex::default(),
     })
 }
--- a/standins/src/stage.rs
+++ b/standins/src/stage.rs
@@ -396,6 +396,15 @@
         send_signal(self.entries[index].gateway.as_ref(), "-TERM")
     }
 
+    /// Asks a scheduler to shut down.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the signal cannot be sent.
+    pub fn terminate_scheduler(&self, index: usize) -> Result<(), Report> {
+        send_signal(self.entries[index].scheduler.as_ref(), "-TERM")
+    }
+
     /// Waits for a gateway's process to end.
     ///
     /// # Errors
--- /dev/null
+++ b/tests/process_bounds.rs
@@ -0,0 +1,152 @@
+//! What must happen within seconds, with real processes. Times are printed, not
+//! asserted under load; the conditions have generous limits.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use hemlockramp::wire::log::HostState;
+use serde_json::{Value, json};
+use standins::caller;
+use standins::fault::{FaultMode, FaultSetting};
+use standins::stage::{Stage, wait_for};
+use support::{StageBuilder, first_ticket, gang};
+
+/// A leaving runner gets no new work after this long.
+const LEAVING_S: u64 = 5;
+
+fn quick() -> Value {
+    json!({
+        "lease_ms": 3_000, "lease_margin_ms": 500, "renew_ms": 500, "worker_timeout_ms": 500,
+        "lost_after_ms": 1_500, "heartbeat_ms": 150, "peer_dead_ms": 700,
+    })
+}
+
+async fn start(name: &str, hosts: usize, workers: usize) -> Stage {
+    let builder = StageBuilder::new(name).hosts(hosts).workers(workers);
+    let stage = builder.timing(quick()).start().await;
+    stage
+        .post(0, "/tickets", &first_ticket())
+        .await
+        .expect("ticket 1");
+    stage
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_ticket_is_in_force_on_every_host() {
+    let stage = start("in_force", 3, 8).await;
+    let ticket = json!({ "number": 2, "author": "ann",
+        "teams": [{ "team": "photos", "quota_accelerators": 8 }] });
+    let asked = Instant::now();
+    stage.post(2, "/tickets", &ticket).await.expect("ticket 2");
+    wait_for("all three hosts have ticket 2", || async {
+        let shown = stage.get(0, "/tickets/2").await.unwrap_or_default();
+        shown["in_force"]
+            .as_array()
+            .is_some_and(|hosts| hosts.len() == 3)
+    })
+    .await
+    .expect("in force");
+    println!(
+        "ticket known to be in force on 3 hosts after {:?}",
+        asked.elapsed()
+    );
+    for index in 0..3 {
+        let big = gang(&format!("big{index}"), "photos", 8, 2, "run 1");
+        assert!(
+            stage.post(index, "/jobs", &big).await.is_err(),
+            "the lower quota holds at {index}"
+        );
+    }
+    stage.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_runner_that_leaves_by_the_host_list_gets_no_new_work() {
+    let stage = start("leaving", 2, 8).await;
+    let send = |index: usize| {
+        let gateway = stage.entries[index % 2].gateway_address;
+        let free = ["hemlockramp-idempotent: true"];
+        async move { caller::post(gateway, "/requests/photos/x", &free, "x").await }
+    };
+    for index in 0..40 {
+        send(index).await.expect("an answer");
+    }
+    assert!(
+        !stage.runners[0].0.effects().is_empty(),
+        "it had work before"
+    );
+    let mut listing = stage.listing();
+    let host = listing
+        .hosts
+        .iter_mut()
+        .find(|host| host.name == "run0")
+        .expect("run0");
+    host.state = HostState::Leaving;
+    stage.list.put(listing);
+    tokio::time::sleep(Duration::from_secs(LEAVING_S)).await;
+    let before = stage.runners[0].0.effects().len();
+    for index in 0..60 {
+        assert_eq!(send(index).await.expect("an answer").status, 200);
+    }
+    assert_eq!(stage.runners[0].0.effects().len(), before);
+    stage.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn work_of_a_lost_failure_domain_runs_again_in_the_other() {
+    let stage = start("domain_lost", 2, 16).await;
+    for index in 0..4 {
+        let job = gang(&format!("job{index}"), "photos", 8, 2, "run 4000");
+        stage.post(0, "/jobs", &job).await.expect("job");
+    }
+    for index in 0..4 {
+        let id = format!("job{index}");
+        stage.wait_job(0, &id, "running").await.expect("job runs");
+    }
+    let lost = Instant::now();
+    for (worker, _) in &stage.workers[..8] {
+        worker.fault.set(FaultSetting {
+            mode: FaultMode::Silent,
+            ms: 0,
+            count: 0,
+        });
+    }
+    wait_for("the guarantee is shown as short", || async {
+        let report = stage.get(0, "/report?json=true").await.unwrap_or_default();
+        let rows = report["rows"].as_array().cloned().unwrap_or_default();
+        rows.iter()
+            .any(|row| row["team"] == "restock" && row["short"] == 32)
+    })
+    .await
+    .expect("shown openly");
+    println!("the loss was shown after {:?}", lost.elapsed());
+    for index in 0..4 {
+        let id = format!("job{index}");
+        stage.wait_job(1, &id, "finished").await.expect("job ends");
+    }
+    assert_eq!(stage.violations(), Vec::<String>::new());
+    stage.close().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_scheduler_shut_down_under_load_hands_its_work_over() {
+    let stage = start("scheduler_ends", 2, 8).await;
+    for index in 0..4 {
+        let job = gang(&format!("job{index}"), "photos", 8, 2, "run 5000");
+        stage.post(0, "/jobs", &job).await.expect("job");
+    }
+    for index in 0..4 {
+        let id = format!("job{index}");
+        stage.wait_job(0, &id, "running").await.expect("job runs");
+    }
+    stage.terminate_scheduler(0).expect("terminated");
+    for index in 0..4 {
+        let id = format!("job{index}");
+        stage.wait_job(0, &id, "finished").await.expect("job ends");
+        let job = stage.get(0, &format!("/jobs/{id}")).await.expect("job");
+        assert_eq!(job["attempts"], 1, "{job}");
+    }
+    assert_eq!(stage.violations(), Vec::<String>::new());
+    stage.close().await;
+}
