Measure the three ways to share slots; start the load's clock late

Cause of 7551 requests/s at 400 in flight against 36159 at 50: the load counted the time to make 400 connections at once, and some waited a second for a place in the accept queue. Ruled out: slots (no refusals) and retries.

Busy answers stay the default; the policy is a setting now.

--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -11,7 +11,6 @@
 use crate::routing::pool::ConnectionPool;
 use crate::routing::retry::RetryBudget;
 use crate::routing::runner::{RunnerEvent, RunnerRow, RunnerTable};
-use crate::routing::slots::SlotPolicy;
 use crate::routing::verdict::{CallFailure, RunVerdict};
 use crate::settings::gateway::RequestSettings;
 use crate::tables::name::ObjectName;
@@ -70,7 +69,7 @@
         let settings = Arc::new(settings);
         let pool = ConnectionPool::new(Arc::clone(&settings));
         tokio::spawn(pool.clone().sweep());
-        let table = RunnerTable::new(SlotPolicy::BusyAnswers, settings.runner_slots);
+        let table = RunnerTable::new(settings.slot_policy, settings.runner_slots);
         Self {
             runners: Arc::new(Mutex::new(table)),
             budget: Arc::new(Mutex::new(RetryBudget::new(settings.retry_percent))),
--- a/src/routing/slots.rs
+++ b/src/routing/slots.rs
@@ -1,12 +1,13 @@
 //! How many of a runner's slots this host may use, with no coordinator.
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 /// Answers without a "busy" after which a borrowing share grows by one.
 const GROW_AFTER_ANSWERS: u32 = 16;
 
 /// How a runner's slots are shared by the entry hosts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
 pub enum SlotPolicy {
     /// Slots divided by hosts, at least one.
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::reports::layout::ReportLayout;
+use crate::routing::slots::SlotPolicy;
 use crate::settings::load::{checked_count, checked_ms};
 use crate::tables::name::ObjectName;
 
@@ -49,6 +50,9 @@
 pub struct RawRequestSettings {
     /// Slots of a runner; 1 to 1024, default 8.
     pub runner_slots: u64,
+    /// How the entry hosts share them: `fixed-share`, `busy-answers` or `borrowing-share`;
+    /// default `busy-answers`.
+    pub slot_policy: SlotPolicy,
     /// Connections of this host to one runner; 1 to 1024, default 6.
     pub runner_connections: u64,
     /// Deadline of a request that names none; 10 to 600000, default 10000.
@@ -75,6 +79,7 @@
     fn default() -> Self {
         Self {
             runner_slots: 8,
+            slot_policy: SlotPolicy::BusyAnswers,
             runner_connections: 6,
             deadline_ms: 10_000,
             connect_ms: 500,
@@ -94,6 +99,7 @@
 #[allow(missing_docs, reason = "each is the checked form of the raw key")]
 pub struct RequestSettings {
     pub runner_slots: usize,
+    pub slot_policy: SlotPolicy,
     pub runner_connections: usize,
     pub deadline: Duration,
     pub connect: Duration,
@@ -116,6 +122,7 @@
         };
         Ok(Self {
             runner_slots: count("runner_slots", raw.runner_slots, 1..=1_024)?,
+            slot_policy: raw.slot_policy,
             runner_connections: count("runner_connections", raw.runner_connections, 1..=1_024)?,
             deadline: ms("deadline_ms", raw.deadline_ms, 10..=600_000)?,
             connect: ms("connect_ms", raw.connect_ms, 10..=60_000)?,
--- a/standins/src/bin/request_load.rs
+++ b/standins/src/bin/request_load.rs
@@ -5,6 +5,7 @@
 
 use std::fs;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 use serde_json::json;
 use standins::stage::{DaemonCommand, Stage, StagePlan};
 use tokio::net::TcpStream;
+use tokio::sync::Barrier;
 
 /// Requests of one measurement at most.
 const REQUESTS: usize = 8_000;
@@ -101,16 +103,22 @@
 /// Sends the requests over as many connections as are in flight. `keyed` above 0 makes
 /// each request run at most once, under keys of this measurement.
 async fn load(addresses: &[SocketAddr], path: &str, in_flight: usize, keyed: usize) -> LoadFigures {
-    let started = Instant::now();
     let most = if keyed > 0 { KEYED_EACH } else { REQUESTS_EACH };
     let each = (REQUESTS / in_flight).min(most);
+    // The clock starts once all are connected; the one more is this task.
+    let all_connected = Arc::new(Barrier::new(in_flight + 1));
     let tasks: Vec<_> = (0..in_flight)
         .map(|number| {
             let address = addresses[number % addresses.len()];
             let path = path.to_owned();
-            tokio::spawn(async move { connection_load(address, &path, each, keyed, number).await })
+            let connected = Arc::clone(&all_connected);
+            tokio::spawn(async move {
+                connection_load(address, &path, each, keyed, number, connected).await
+            })
         })
         .collect();
+    all_connected.wait().await;
+    let started = Instant::now();
     let mut figures = LoadFigures {
         took: Duration::ZERO,
         micros: Vec::new(),
@@ -136,11 +144,13 @@
     count: usize,
     keyed: usize,
     number: usize,
+    all_connected: Arc<Barrier>,
 ) -> Result<Vec<u128>, Report> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let (mut sender, driver) = handshake(TokioIo::new(stream)).await?;
     let driver = tokio::spawn(driver);
+    all_connected.wait().await;
     let mut times = Vec::new();
     for step in 0..count {
         let header = match keyed {
