Queue requests for slots in order; split large files; test keys more

Cause of a p99 of 42 ms at 400 in flight: every waiting request looked again each 20 ms and newcomers went before those who waited. Requests of a host now take turns.

keeper.rs, operator.rs and stage.rs gave up their rows, texts and processes to files of their own.

--- a/src/command/operator.rs
+++ b/src/command/operator.rs
@@ -13,15 +13,15 @@
 use serde::de::DeserializeOwned;
 
 use crate::command::daemon::{EXIT_FAILURE, EXIT_USAGE};
+use crate::command::text::{audit_text, explain_text, hosts_text, job_text, ticket_text};
 use crate::routing::verdict::{CallFailure, RunVerdict};
 use crate::settings::gateway::{GatewaySettings, RawGatewaySettings};
 use crate::settings::load::load_settings;
 use crate::settings::scheduler::{RawSchedulerSettings, SchedulerSettings};
-use crate::tables::audit::AuditRow;
 use crate::tables::job::JobSpec;
 use crate::tables::name::ObjectName;
 use crate::tables::ticket::TicketSpec;
-use crate::wire::api::{ChangeView, ExplainView, HostsView, JobView, TicketView};
+use crate::wire::api::ChangeView;
 use crate::wire::http::HttpClient;
 
 /// Exit code of a change that was refused and did not run.
@@ -77,11 +77,6 @@
     limit: Option<String>,
 }
 
-/// Rows of the audit trail.
-#[derive(serde::Serialize, serde::Deserialize)]
-#[serde(transparent)]
-struct AuditRows(Vec<AuditRow>);
-
 /// Why a command failed.
 enum OperatorError {
     Usage(Report),
@@ -336,101 +331,3 @@
     }
     Ok(format!("audit?{}", query.join("&")))
 }
-
-fn job_text(job: &JobView) -> String {
-    let reason = job
-        .reason
-        .as_ref()
-        .map_or(String::new(), |reason| format!(": {reason}"));
-    format!(
-        "job {} of team {}: {}{reason} (attempts {}, evictions {})",
-        job.id, job.team, job.state, job.attempts, job.evictions
-    )
-}
-
-fn explain_text(view: &ExplainView) -> String {
-    let mut text = format!("{}\n", job_text(&view.job));
-    let start_ms = view.job.submitted_ms;
-    for step in &view.steps {
-        let after_ms = step.at_ms.saturating_sub(start_ms);
-        let _ = writeln!(
-            text,
-            "  +{after_ms:>8} ms  offset {:>7}  {}",
-            step.offset, step.text
-        );
-    }
-    for task in &view.tasks {
-        let bits = task.accelerators;
-        let _ = writeln!(
-            text,
-            "  task on {} accelerators {bits:08b} {}",
-            task.worker, task.state
-        );
-    }
-    if let Some(reason) = &view.waits_for {
-        let _ = writeln!(text, "  waits: {reason}");
-    }
-    text
-}
-
-fn ticket_text(view: &TicketView) -> String {
-    let names = |names: &[ObjectName]| -> String {
-        let names: Vec<&str> = names.iter().map(ObjectName::as_str).collect();
-        names.join(" ")
-    };
-    format!(
-        "ticket {} by {}: teams {}\n  since {} ms, at log offset {}\n  in force on {} hosts: {}\n  \
-         not known to be on {}: {}",
-        view.number,
-        view.author,
-        names(&view.teams),
-        view.accepted_ms,
-        view.offset,
-        view.in_force.len(),
-        names(&view.in_force),
-        view.missing.len(),
-        names(&view.missing)
-    )
-}
-
-fn audit_text(rows: &AuditRows) -> String {
-    let mut text = String::new();
-    for row in &rows.0 {
-        let verdict = match &row.refused {
-            Some(reason) => format!("refused: {reason}"),
-            None => "accepted".to_owned(),
-        };
-        let _ = writeln!(
-            text,
-            "{:>8} {:>13} {:<16} {:<10} {:<28} {verdict}",
-            row.offset, row.at_ms, row.actor, row.kind, row.subject
-        );
-    }
-    text
-}
-
-fn hosts_text(view: &HostsView) -> String {
-    let mut text = String::from("ENTRY HOST       LIVE  FOLDED   TICKET\n");
-    for host in &view.entry {
-        let live = if host.live { "yes" } else { "no" };
-        let _ = writeln!(
-            text,
-            "{:<16} {live:<4} {:>7} {:>8}",
-            host.host, host.folded, host.ticket
-        );
-    }
-    text.push_str("WORKER           DOMAIN     RACK       STATE        HELD\n");
-    for worker in &view.workers {
-        let _ = writeln!(
-            text,
-            "{:<16} {:<10} {:<10} {:<11} {:>2}/{:<2}",
-            worker.worker,
-            worker.domain,
-            worker.rack,
-            worker.state,
-            worker.held,
-            worker.accelerators
-        );
-    }
-    text
-}
--- a/src/daemons/keeper.rs
+++ b/src/daemons/keeper.rs
@@ -5,14 +5,13 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, MissedTickBehavior, interval};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::daemons::context::SharedContext;
+use crate::daemons::keeper_row::{KeeperRow, LostMark, digest_of, is_due, take_outcome};
 use crate::journal::record::{AttemptRef, RecordBody, WorkerRecord};
 use crate::journal::writer::AppendOutcome;
 use crate::routing::verdict::CallFailure;
-use crate::settings::scheduler::TimingSettings;
-use crate::systems::keep::{OrderRow, OrderTable, lost_reports, released_reports, reports_of};
+use crate::systems::keep::{OrderTable, lost_reports, released_reports, reports_of};
 use crate::systems::topology::compare_hosts;
 use crate::tables::job::TaskState;
 use crate::tables::name::ObjectName;
@@ -23,42 +22,6 @@
 /// Answers waiting to be taken up.
 const ANSWERS_MAX: usize = 4_096;
 
-/// A worker that this host keeps.
-struct KeeperRow {
-    slot: WorkerSlot,
-    name: ObjectName,
-    /// When it last answered, or when this host began to keep it.
-    heard: Instant,
-    /// When it was last sent anything.
-    sent: Option<Instant>,
-    /// Whether an answer to orders is awaited.
-    ordering: bool,
-    /// Whether an answer to a renewal is awaited; the worker may hold it back.
-    polling: bool,
-    /// Version of the worker's states that was taken up; 0 for none.
-    seen: u64,
-    /// Whether the last message had no answer.
-    failed: bool,
-    /// Digest of the orders it should have.
-    digest: u64,
-    /// Digest of the orders it confirmed.
-    confirmed: Option<u64>,
-    /// When its lost tasks were first seen here.
-    lost: Option<LostMark>,
-    /// Reports that the log has not settled.
-    pending: Option<oneshot::Receiver<AppendOutcome>>,
-}
-
-/// When tasks were seen lost, and by whom.
-#[derive(Clone, Copy)]
-struct LostMark {
-    at: Instant,
-    /// Hosts that have folded up to here renew the tasks no more.
-    offset: u64,
-    /// When all listed hosts had folded that far.
-    known_to_all: Option<Instant>,
-}
-
 struct KeeperAnswer {
     slot: WorkerSlot,
     digest: u64,
@@ -428,58 +391,3 @@
         row.pending.is_some()
     }
 }
-
-impl KeeperRow {
-    fn new(slot: WorkerSlot, name: ObjectName) -> Self {
-        Self {
-            slot,
-            name,
-            heard: Instant::now(),
-            sent: None,
-            ordering: false,
-            polling: false,
-            seen: 0,
-            failed: false,
-            digest: 0,
-            confirmed: None,
-            lost: None,
-            pending: None,
-        }
-    }
-}
-
-/// Returns whether a worker should be sent something now.
-fn is_due(row: &KeeperRow, timing: &TimingSettings, changed: bool) -> bool {
-    let idle = row.sent.map_or(Duration::MAX, |at| at.elapsed());
-    let pause = match (changed, row.failed) {
-        (true, false) => Duration::ZERO,
-        // A worker that does not answer is asked again at the pace of its time-out.
-        (true, true) => timing.worker_timeout.min(timing.renew),
-        // The answer to a renewal is held back, so this only bounds a busy worker.
-        (false, _) => match row.seen {
-            0 => timing.renew,
-            _ => timing.tick,
-        },
-    };
-    idle >= pause
-}
-
-/// Returns a settled append's outcome and forgets it; none while it is open.
-fn take_outcome(pending: &mut Option<oneshot::Receiver<AppendOutcome>>) -> Option<AppendOutcome> {
-    let outcome = match pending.as_mut()?.try_recv() {
-        Ok(outcome) => outcome,
-        Err(oneshot::error::TryRecvError::Empty) => return None,
-        Err(oneshot::error::TryRecvError::Closed) => AppendOutcome::Unknown,
-    };
-    *pending = None;
-    Some(outcome)
-}
-
-fn digest_of(orders: &[OrderRow]) -> u64 {
-    let mut text = String::new();
-    for row in orders {
-        // The digest covers what the worker is told, not what the journal knows.
-        text.push_str(&serde_json::to_string(&row.order).unwrap_or_default());
-    }
-    xxh3_64(text.as_bytes())
-}
--- a/src/daemons/mod.rs
+++ b/src/daemons/mod.rs
@@ -8,6 +8,7 @@
 pub mod host_book;
 pub mod http_reply;
 pub mod keeper;
+pub mod keeper_row;
 pub mod membership;
 pub mod observe;
 pub mod peer_book;
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -17,7 +17,7 @@
 use crate::wire::peer::RunnerView;
 
 /// Longest wait for a free slot before looking again, in ms.
-const SLOT_WAIT_MS: u64 = 20;
+const SLOT_WAIT_MS: u64 = 5;
 /// First pause before a retry, in ms; it doubles, and a random part is taken off.
 const RETRY_PAUSE_MS: u64 = 10;
 /// Most doublings of that pause.
@@ -44,6 +44,8 @@
     budget: Arc<Mutex<RetryBudget>>,
     pool: ConnectionPool,
     freed: Arc<Notify>,
+    /// Held by the request that is next to get a slot; waiters queue in their order.
+    turn: Arc<tokio::sync::Mutex<()>>,
 }
 
 /// A runner's slot taken for one request; dropping it frees the slot.
@@ -75,6 +77,7 @@
             budget: Arc::new(Mutex::new(RetryBudget::new(settings.retry_percent))),
             pool,
             freed: Arc::new(Notify::new()),
+            turn: Arc::default(),
             settings,
         }
     }
@@ -152,6 +155,12 @@
         tried: &[ObjectName],
         deadline: Instant,
     ) -> Result<SlotPermit, CallFailure> {
+        let none_free = || {
+            let failure = CallFailure::not_run(503, "no runner had a free slot in time");
+            failure.retry_after(BUSY_RETRY_MS)
+        };
+        let turn = tokio::time::timeout_at(deadline, self.turn.lock()).await;
+        let _turn = turn.map_err(|_| none_free())?;
         loop {
             let now = Instant::now();
             let chosen = lock(&self.runners).choose(now, tried, &mut rand::rng());
@@ -162,8 +171,7 @@
                 });
             }
             if now >= deadline {
-                let failure = CallFailure::not_run(503, "no runner had a free slot in time");
-                return Err(failure.retry_after(BUSY_RETRY_MS));
+                return Err(none_free());
             }
             let wait = Duration::from_millis(SLOT_WAIT_MS).min(deadline - now);
             let _ = tokio::time::timeout(wait, self.freed.notified()).await;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fault;
 pub mod host_list;
 pub mod log_service;
+pub mod process;
 pub mod replay;
 pub mod runner;
 pub mod server;
--- a/standins/src/stage.rs
+++ b/standins/src/stage.rs
@@ -2,11 +2,10 @@
 
 use std::ffi::OsString;
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use dropshot::HttpServer;
@@ -18,6 +17,7 @@
 use crate::check::{RunFindings, examine};
 use crate::host_list::{HostList, SharedHosts, start_hosts};
 use crate::log_service::{LogService, SharedLog, start_log};
+use crate::process::{any_port, free_address, kill, send_signal};
 use crate::runner::{Runner, SharedRunner, start_runner};
 use crate::worker::{SharedWorker, Worker, start_worker};
 
@@ -30,17 +30,6 @@
 /// Slots of a runner.
 const RUNNER_SLOTS: usize = 8;
 
-/// First port given to a daemon.
-const PORT_FIRST: u32 = 20_000;
-/// Processes start to look for ports at this many places.
-const PORT_STARTS: u32 = 100;
-/// Ports between two such places.
-const PORT_STRIDE: u32 = 100;
-/// Ports tried before giving up.
-const PORT_TRIES: u32 = 1_000;
-/// Ports that this process has tried.
-static PORT_NEXT: AtomicU32 = AtomicU32::new(0);
-
 /// How the daemons are started: program and first arguments.
 #[derive(Clone, Debug)]
 pub struct DaemonCommand {
@@ -435,24 +424,6 @@
     }
 }
 
-fn send_signal(child: Option<&Child>, signal: &str) -> Result<(), Report> {
-    let child = child.ok_or_else(|| eyre!("no such process"))?;
-    let status = Command::new("kill")
-        .arg(signal)
-        .arg(child.id().to_string())
-        .status()?;
-    ensure!(status.success(), "kill {signal}");
-    Ok(())
-}
-
-fn kill(child: Option<Child>) {
-    if let Some(mut child) = child {
-        // It may have ended already.
-        let _ = child.kill();
-        let _ = child.wait();
-    }
-}
-
 fn new_entry(index: usize) -> Result<EntryRow, Report> {
     Ok(EntryRow {
         name: format!("e{index}"),
@@ -476,25 +447,6 @@
     }
 }
 
-fn any_port() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
-}
-
-/// Returns a loopback address for a daemon. The ports lie below those that the system
-/// gives to outgoing connections, so that none is taken while its daemon is away.
-fn free_address() -> Result<SocketAddr, Report> {
-    let first = PORT_FIRST + (std::process::id() % PORT_STARTS) * PORT_STRIDE;
-    for _ in 0..PORT_TRIES {
-        let step = PORT_NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = PORT_FIRST + (first - PORT_FIRST + step) % (PORT_STARTS * PORT_STRIDE);
-        let address = SocketAddr::from(([127, 0, 0, 1], u16::try_from(port)?));
-        if TcpListener::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    Err(eyre!("no free port"))
-}
-
 /// Waits until a condition holds.
 ///
 /// # Errors
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -5,14 +5,16 @@
 use std::time::Duration;
 
 use hemlockramp::journal::client::LogStore;
-use hemlockramp::journal::fold::FoldStep;
-use hemlockramp::journal::record::RecordBody;
+use hemlockramp::journal::fold::{FoldStep, FoldVerdict};
+use hemlockramp::journal::fold_key::KEY_LIFE_MS;
+use hemlockramp::journal::record::{IntentRecord, OutcomeRecord, RecordBody};
 use hemlockramp::journal::snapshot::{
     SnapshotPart, join_parts, read_newest, split_state, write_snapshot,
 };
 use hemlockramp::journal::state::FoldState;
 use hemlockramp::journal::tail::{JournalStreams, JournalView, TailStatus, follow};
 use hemlockramp::journal::writer::{AppendOutcome, JournalWriter};
+use hemlockramp::tables::key::{KeyAnswer, KeyOutcome};
 use hemlockramp::tables::name::ObjectName;
 use hemlockramp::tables::ticket::TicketSpec;
 use quickcheck::{Gen, QuickCheck};
@@ -304,6 +306,82 @@
     }
 }
 
+/// Records an intent or an outcome under one of a few keys.
+fn push_key(bench: &mut FoldBench, random: &mut ChaCha8Rng) {
+    let key = name(&format!("k{}", random.random_range(0..4)));
+    let row = bench.state.keys.find(&name("red"), &key).cloned();
+    let record = match row.filter(|row| row.outcome == KeyOutcome::Pending) {
+        Some(row) => RecordBody::Outcome(OutcomeRecord {
+            team: name("red"),
+            key,
+            intent: row.intent,
+            outcome: match random.random_range(0..3) {
+                0 => KeyOutcome::NotRun,
+                1 => KeyOutcome::MayHaveRun,
+                _ => KeyOutcome::Answered(KeyAnswer {
+                    status: 200,
+                    body: Some("booked".to_owned()),
+                }),
+            },
+        }),
+        None => RecordBody::Intent(IntentRecord {
+            team: name("red"),
+            key,
+            digest: 7,
+            issued_ms: bench.now_ms,
+        }),
+    };
+    bench.push(record);
+}
+
+#[test]
+fn a_key_runs_at_most_once_whatever_its_records_and_snapshots() {
+    fn property(seed: u64) -> bool {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut bench = FoldBench::new(1);
+        bench.ticket(1, vec![team("red", &[])]);
+        let mut granted = 0;
+        let mut withdrawn = 0;
+        for step in 0..60 {
+            let intent = RecordBody::Intent(IntentRecord {
+                team: name("red"),
+                key: name("charge"),
+                digest: 7,
+                issued_ms: 1_000,
+            });
+            bench.now_ms += random.random_range(0..KEY_LIFE_MS / 20);
+            granted += u32::from(bench.push(intent) == FoldVerdict::Accepted);
+            if random.random_ratio(1, 8) {
+                let row = bench
+                    .state
+                    .keys
+                    .find(&name("red"), &name("charge"))
+                    .cloned();
+                let Some(row) = row else { continue };
+                let outcome = RecordBody::Outcome(OutcomeRecord {
+                    team: row.team,
+                    key: row.key,
+                    intent: row.intent,
+                    outcome: KeyOutcome::NotRun,
+                });
+                withdrawn += u32::from(bench.push(outcome) == FoldVerdict::Accepted);
+            }
+            if step % 10 == 9 {
+                let parts = split_state(&bench.state, step).expect("parts");
+                bench.state = join_parts(&parts).expect("joined");
+            }
+            // Each grant but the last was withdrawn before anything was sent.
+            assert!(granted <= withdrawn + 1, "seed {seed}: granted twice");
+        }
+        true
+    }
+    println!("seed {SEED:#x}");
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(64, SEED))
+        .tests(60)
+        .quickcheck(property as fn(u64) -> bool);
+}
+
 #[test]
 fn the_same_prefix_gives_the_same_state_wherever_a_snapshot_was_cut() {
     fn property(seed: u64) -> bool {
@@ -319,6 +397,7 @@
                 1 << random.random_range(0..5),
                 1,
             ));
+            push_key(&mut bench, &mut random);
             bench.plan();
             bench.work(&mut random, 0.8, 0.3, 4);
         }
