Drop an unused type and join a doubled comparison

Read as a newcomer: WriterPace was never used, a doc comment spoke of ids that do not exist, and the links' refresh compared hosts by a detour.

--- a/src/daemons/membership.rs
+++ b/src/daemons/membership.rs
@@ -3,7 +3,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::daemons::context::SharedContext;
-use crate::daemons::host_book::HostRoster;
+use crate::daemons::host_book::{EntryHost, HostRoster};
 use crate::daemons::peer_link::PeerLink;
 use crate::tables::name::ObjectName;
 use crate::wire::log::HostListing;
@@ -47,16 +47,12 @@
     let Some(roster) = context.hosts.roster() else {
         return;
     };
-    let others = roster
-        .entry
-        .iter()
-        .filter(|entry| entry.name != *context.host());
-    let listed: Vec<_> = others.collect();
+    let mut listed = roster.entry;
+    listed.retain(|entry| entry.name != *context.host());
     links.retain(|row| {
-        let same = |entry: &&crate::daemons::host_book::EntryHost| {
-            entry.name == row.host && entry.address == row.link.address()
-        };
-        listed.iter().copied().any(|entry| same(&entry))
+        let same =
+            |entry: &EntryHost| entry.name == row.host && entry.address == row.link.address();
+        listed.iter().any(same)
     });
     for entry in listed {
         if !links.iter().any(|row| row.host == entry.name) {
--- a/src/journal/writer.rs
+++ b/src/journal/writer.rs
@@ -57,15 +57,6 @@
     waiters: Mutex<WaiterMap>,
 }
 
-/// How fast the writer appends.
-#[derive(Clone, Copy, Debug)]
-pub struct WriterPace {
-    /// Shortest time between two appends; bounds this host's share of the log's budget.
-    pub interval: Duration,
-    /// How long a caller waits for its record to be settled.
-    pub settle: Duration,
-}
-
 impl JournalWriter {
     /// Starts the writer's task; it ends when all clones are dropped.
     pub fn start<L: LogStore>(
@@ -250,7 +241,7 @@
         }
     }
 
-    /// A `Void` has an id of its own: the target's count in a space of its own.
+    /// Encodes a `Void` for a record, with the next id of this process.
     fn void_text(&self, target: RecordId) -> Option<String> {
         let mut seq = lock(&self.shared.seq);
         *seq += 1;
