Give each test process addresses of its own

Cause: a stage drew a port by binding and letting go of it; another process (a bench, a second test run) could take it before the daemon bound it, seen as 'failed to bind to 127.0.0.1:26917' in process_bounds, 1 of 7 runs. Now the log and the host list bind port 0 and are asked for their address; daemons get an IP number of 127/8 made from the test's process id, where ephemeral ports of others cannot fall, and each port is given out once. Ruled out: a retry in the daemon, which would hide a real clash.

--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -2,43 +2,35 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::process::{Child, Command};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU16, Ordering};
 
-use eyre::{Report, ensure, eyre};
+use eyre::{Report, WrapErr, ensure, eyre};
 
 /// First port given to a daemon.
-const PORT_FIRST: u32 = 20_000;
-/// Processes start to look for ports at this many places.
-const PORT_STARTS: u32 = 100;
-/// Ports between two such places.
-const PORT_STRIDE: u32 = 100;
-/// Ports tried before giving up.
-const PORT_TRIES: u32 = 1_000;
-/// Ports that this process has tried.
-static PORT_NEXT: AtomicU32 = AtomicU32::new(0);
+const PORT_FIRST: u16 = 20_000;
+/// Bit of the IP number that keeps it apart from 127.0.0.1, where other programs listen.
+const OWN_NETWORK: u8 = 0x80;
+/// Ports that this process has given out.
+static PORT_NEXT: AtomicU16 = AtomicU16::new(0);
 
 /// Returns a loopback address with whatever port is free when it is bound.
 pub fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
-/// Returns a loopback address for a daemon. The ports lie below those that the system
-/// gives to outgoing connections, so that none is taken while its daemon is away.
+/// Returns a loopback address for a daemon, one that no other process uses: the IP number
+/// is made from this process's id, and each port is given out once.
 ///
 /// # Errors
 ///
-/// Fails when no port is free.
+/// Fails when something listens there already.
 pub fn free_address() -> Result<SocketAddr, Report> {
-    let first = PORT_FIRST + (std::process::id() % PORT_STARTS) * PORT_STRIDE;
-    for _ in 0..PORT_TRIES {
-        let step = PORT_NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = PORT_FIRST + (first - PORT_FIRST + step) % (PORT_STARTS * PORT_STRIDE);
-        let address = SocketAddr::from(([127, 0, 0, 1], u16::try_from(port)?));
-        if TcpListener::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-    Err(eyre!("no free port"))
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let ip = [127, high | OWN_NETWORK, middle, low];
+    let port = PORT_FIRST + PORT_NEXT.fetch_add(1, Ordering::Relaxed);
+    let address = SocketAddr::from((ip, port));
+    TcpListener::bind(address).wrap_err_with(|| format!("bind {address}"))?;
+    Ok(address)
 }
 
 /// Sends a signal to a process.
--- a/standins/src/stage.rs
+++ b/standins/src/stage.rs
@@ -109,11 +109,10 @@
     /// Fails when a part cannot start or a gateway does not become ready.
     pub async fn start(plan: StagePlan) -> Result<Self, Report> {
         fs::create_dir_all(&plan.folder).wrap_err("the stage's folder")?;
-        let any = free_address()?;
         let log: SharedLog = Arc::new(LogService::default());
         let list: SharedHosts = Arc::new(HostList::new(plan.list_lag));
-        let log_server = start_log(Arc::clone(&log), any)?;
-        let list_server = start_hosts(Arc::clone(&list), free_address()?)?;
+        let log_server = start_log(Arc::clone(&log), any_port())?;
+        let list_server = start_hosts(Arc::clone(&list), any_port())?;
         let mut stage = Self {
             client: HttpClient::default(),
             log,
