--- a/src/daemons/mod.rs
+++ b/src/daemons/mod.rs
@@ -9,6 +9,7 @@
 pub mod http_reply;
 pub mod keeper;
 pub mod keeper_row;
+pub mod log_writer;
 pub mod membership;
 pub mod observe;
 pub mod peer_book;
--- a/src/daemons/observe.rs
+++ b/src/daemons/observe.rs
@@ -1,40 +1,59 @@
 //! Logs, metrics and signals.
 
-use std::io::Write;
+use std::io::{self, Write};
 
-use env_logger::{Builder, Env};
+use env_logger::fmt::Formatter;
+use env_logger::{Builder, Env, Target};
 use eyre::{Report, eyre};
 use log::kv::{Key, Value, VisitSource};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::daemons::log_writer::LogWriter;
+
 /// Variable that sets the log filter, as in `HEMLOCKRAMP_LOG=info`.
 const LOG_FILTER_VARIABLE: &str = "HEMLOCKRAMP_LOG";
 
 /// Sets up logging to stderr, as text or as JSON lines.
 pub fn start_logs(json: bool) {
-    let environment = Env::new().filter_or(LOG_FILTER_VARIABLE, "info");
-    let mut builder = Builder::from_env(environment);
-    builder.filter_module("dropshot", log::LevelFilter::Off);
+    let mut builder = log_builder();
     if json {
-        builder.format(|output, record| {
-            let mut fields = JsonFields::default();
-            let _ = record.key_values().visit(&mut fields);
-            let line = serde_json::json!({
-                "time": output.timestamp_millis().to_string(),
-                "level": record.level().as_str(),
-                "part": record.target(),
-                "message": record.args().to_string(),
-                "fields": fields.map,
-            });
-            writeln!(output, "{line}")
-        });
+        builder.format(write_json);
     } else {
         builder.format_timestamp_millis();
     }
     builder.init();
 }
 
+/// Sets up logging to standard output as JSON lines, bounded and without waiting.
+pub fn start_bounded_logs() {
+    let mut builder = log_builder();
+    builder.format(write_json);
+    builder.target(Target::Pipe(Box::new(LogWriter::open())));
+    builder.init();
+}
+
+fn log_builder() -> Builder {
+    let environment = Env::new().filter_or(LOG_FILTER_VARIABLE, "info");
+    let mut builder = Builder::from_env(environment);
+    builder.filter_module("dropshot", log::LevelFilter::Off);
+    builder
+}
+
+fn write_json(output: &mut Formatter, record: &log::Record) -> io::Result<()> {
+    let mut fields = JsonFields::default();
+    // Fields that cannot be read are left out.
+    let _ = record.key_values().visit(&mut fields);
+    let line = serde_json::json!({
+        "time": output.timestamp_millis().to_string(),
+        "level": record.level().as_str(),
+        "part": record.target(),
+        "message": record.args().to_string(),
+        "fields": fields.map,
+    });
+    writeln!(output, "{line}")
+}
+
 #[derive(Default)]
 struct JsonFields {
     map: serde_json::Map<String, serde_json::Value>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod systems;
 pub mod tables;
 pub mod wire;
+pub mod work;
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -12,6 +12,7 @@
 use crate::tables::ticket::TicketSpec;
 use crate::wire::api::{AuditFilter, ChangeView, ExplainView, HostsView, JobView, TicketView};
 use crate::wire::log::HostState;
+use crate::work::stream::{StoreCall, StoreFailure, StoreReply};
 
 /// One frame.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -77,6 +78,8 @@
     Intent(IntentRecord),
     /// Record what became of it.
     Outcome(OutcomeRecord),
+    /// Call the platform's store for a host that it turns away.
+    Store(StoreCall),
 }
 
 /// A scheduler's reply.
@@ -102,6 +105,8 @@
     Routing(RoutingView),
     /// Whether the request may be sent.
     Intent(IntentReply),
+    /// What the platform's store answered.
+    Store(Result<StoreReply, StoreFailure>),
 }
 
 /// Answer to an intent.
--- /dev/null
+++ b/src/work/amount.rs
@@ -0,0 +1,67 @@
+//! Amounts of processor, memory and accelerators.
+
+use serde::{Deserialize, Serialize};
+
+/// Core-seconds that one accelerator-second counts for when work is compared.
+const CORES_PER_ACCELERATOR: u64 = 8;
+/// Thousandths of a core in a core.
+const MILLI: u64 = 1_000;
+
+/// What a task needs or an upstream has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ResourceAmount {
+    /// Processor, in thousandths of a core.
+    pub cpu_milli: u64,
+    /// Memory, in MB.
+    pub memory_mb: u64,
+    /// Accelerators.
+    pub accelerators: u64,
+}
+
+impl ResourceAmount {
+    /// Returns whether this amount holds `need`.
+    pub fn holds(&self, need: &Self) -> bool {
+        self.cpu_milli >= need.cpu_milli
+            && self.memory_mb >= need.memory_mb
+            && self.accelerators >= need.accelerators
+    }
+
+    /// Returns the sum.
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli + other.cpu_milli,
+            memory_mb: self.memory_mb + other.memory_mb,
+            accelerators: self.accelerators + other.accelerators,
+        }
+    }
+
+    /// Returns what is left, zero where `other` is larger.
+    pub fn minus(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// Returns how many tasks of `need` fit side by side.
+    pub fn count_of(&self, need: &Self) -> u64 {
+        let share = |have: u64, wanted: u64| have.checked_div(wanted).unwrap_or(u64::MAX);
+        share(self.cpu_milli, need.cpu_milli)
+            .min(share(self.memory_mb, need.memory_mb))
+            .min(share(self.accelerators, need.accelerators))
+    }
+
+    /// Returns the weight in thousandths of a core, accelerators counted as cores.
+    pub fn weight_milli(&self) -> u64 {
+        self.cpu_milli + self.accelerators * CORES_PER_ACCELERATOR * MILLI
+    }
+
+    /// Returns the largest share of `whole` that this amount takes, in thousandths.
+    pub fn share_of(&self, whole: &Self) -> u64 {
+        let share = |part: u64, all: u64| (part * MILLI).checked_div(all).unwrap_or(0);
+        share(self.cpu_milli, whole.cpu_milli)
+            .max(share(self.memory_mb, whole.memory_mb))
+            .max(share(self.accelerators, whole.accelerators))
+    }
+}
--- /dev/null
+++ b/src/work/fact_table.rs
@@ -0,0 +1,159 @@
+//! What a host knows from the stream of jobs.
+
+use std::rc::Rc;
+
+use crate::tables::name::ObjectName;
+use crate::work::fact::{HostFact, JobFact, JobPhase, OwnerFact, WorkFact};
+use crate::work::stream::StreamRecord;
+
+/// A job with all that the stream says of it.
+#[derive(Clone, Debug)]
+pub struct JobEntry {
+    /// Its id.
+    pub id: ObjectName,
+    /// The job; none while only later facts are known.
+    pub fact: Option<Rc<JobFact>>,
+    /// Whether a caller took it back.
+    pub cancelled: bool,
+    /// Its phase as the owner recorded it.
+    pub phase: JobPhase,
+}
+
+impl JobEntry {
+    /// Returns the phase that callers are shown.
+    pub fn shown_phase(&self) -> JobPhase {
+        match self.cancelled && !self.phase.is_over() {
+            true => JobPhase::Cancelled,
+            false => self.phase,
+        }
+    }
+}
+
+/// An entry host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostRow {
+    /// Its name.
+    pub name: ObjectName,
+    /// Its address and whether it is gone.
+    pub fact: HostFact,
+}
+
+/// The owner with the offset of its first record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnerRow {
+    /// Who.
+    pub fact: OwnerFact,
+    /// Offset of its newest record.
+    pub offset: u64,
+}
+
+/// What a change means for those who act on it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TableChange {
+    /// A job is new or was taken back.
+    Job(ObjectName),
+    /// The owner gave a sign of life or changed.
+    Owner,
+    /// Nothing to act on.
+    Other,
+}
+
+/// Jobs, hosts and the owner; the newest record of each key counts.
+#[derive(Clone, Debug, Default)]
+pub struct FactTable {
+    /// Jobs, sorted by id.
+    pub jobs: Vec<JobEntry>,
+    /// Hosts, sorted by name.
+    pub hosts: Vec<HostRow>,
+    /// The owner; none before the first.
+    pub owner: Option<OwnerRow>,
+}
+
+impl FactTable {
+    /// Returns a job.
+    pub fn job(&self, id: &ObjectName) -> Option<&JobEntry> {
+        let index = self.jobs.binary_search_by(|job| job.id.cmp(id)).ok()?;
+        Some(&self.jobs[index])
+    }
+
+    /// Applies a record; records that cannot be read are logged and skipped.
+    pub fn apply(&mut self, record: &StreamRecord) -> TableChange {
+        if record.entry.value.is_empty() {
+            return TableChange::Other;
+        }
+        match WorkFact::try_from(&record.entry) {
+            Ok(fact) => self.apply_fact(record.offset, fact),
+            Err(error) => {
+                log::warn!(offset = record.offset; "table: a record is skipped: {error}.");
+                TableChange::Other
+            }
+        }
+    }
+
+    fn apply_fact(&mut self, offset: u64, fact: WorkFact) -> TableChange {
+        match fact {
+            WorkFact::Job(id, fact) => {
+                let job = self.job_mut(&id);
+                // The same job may be handed in again; its first record counts.
+                job.fact.get_or_insert_with(|| Rc::from(fact));
+                TableChange::Job(id)
+            }
+            WorkFact::Cancel(id) => {
+                self.job_mut(&id).cancelled = true;
+                TableChange::Job(id)
+            }
+            WorkFact::Phase(id, phase) => {
+                let job = self.job_mut(&id);
+                if !job.phase.is_over() {
+                    job.phase = phase;
+                }
+                TableChange::Other
+            }
+            WorkFact::Owner(fact) => {
+                self.owner = Some(OwnerRow { fact, offset });
+                TableChange::Owner
+            }
+            WorkFact::Host(name, fact) => {
+                self.put_host(HostRow { name, fact });
+                TableChange::Other
+            }
+        }
+    }
+
+    fn job_mut(&mut self, id: &ObjectName) -> &mut JobEntry {
+        let index = match self.jobs.binary_search_by(|job| job.id.cmp(id)) {
+            Ok(index) => index,
+            Err(index) => {
+                let entry = JobEntry {
+                    id: id.clone(),
+                    fact: None,
+                    cancelled: false,
+                    phase: JobPhase::Queued,
+                };
+                self.jobs.insert(index, entry);
+                index
+            }
+        };
+        &mut self.jobs[index]
+    }
+
+    fn put_host(&mut self, row: HostRow) {
+        match self.hosts.binary_search_by(|host| host.name.cmp(&row.name)) {
+            Ok(index) => self.hosts[index] = row,
+            Err(index) => self.hosts.insert(index, row),
+        }
+    }
+
+    /// Returns how many accepted jobs of a queue have not begun; jobs with set times are
+    /// left out.
+    pub fn pending(&self, queue: &ObjectName) -> usize {
+        let waits = |job: &&JobEntry| {
+            job.shown_phase() == JobPhase::Queued
+                && job
+                    .fact
+                    .as_ref()
+                    .is_some_and(|fact| fact.queue == *queue && fact.spec.repeat.is_none())
+        };
+        self.jobs.iter().filter(waits).count()
+    }
+}
--- /dev/null
+++ b/src/work/host_parts.rs
@@ -0,0 +1,228 @@
+//! What the tasks of one host share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rustix::time::{ClockId, clock_gettime};
+use tokio::sync::Notify;
+
+use crate::tables::name::ObjectName;
+use crate::work::clock::HostTime;
+use crate::work::config_board::ConfigBoard;
+use crate::work::fact_table::{FactTable, TableChange};
+use crate::work::owner::{OwnerTiming, PoolOwner};
+use crate::work::peers::PeerRing;
+use crate::work::ports::StorePort;
+use crate::work::relay::RelayStore;
+use crate::work::stream::{StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord};
+use crate::work::succession::SuccessionWatch;
+
+/// Time for the store to answer, on top of a call's own wait, in ms.
+pub const STORE_LIMIT_MS: u64 = 900;
+
+/// Returns the time since boot, in ms; it counts on while the host is suspended.
+pub fn steady_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
+
+/// Reads both clocks.
+pub fn host_time() -> HostTime {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+    HostTime {
+        steady_ms: steady_ms(),
+        wall_ms: wall.map_or(0, |since| since.as_millis() as u64),
+    }
+}
+
+/// A host's own account of itself, from its settings.
+#[derive(Clone, Debug)]
+pub struct HostIdentity {
+    /// Its name.
+    pub name: ObjectName,
+    /// Its place in the order of trying to own the pool: 0 first, 1 last.
+    pub rank: f64,
+    /// Bounds for the owner.
+    pub timing: OwnerTiming,
+}
+
+/// What the tasks of one host share.
+pub struct HostParts<S, O, R> {
+    /// The host.
+    pub identity: HostIdentity,
+    /// The store.
+    pub store: RelayStore<S>,
+    /// Orders to upstreams.
+    pub orders: O,
+    /// Reads operators' and upstreams' records.
+    pub reader: R,
+    /// Peers.
+    pub peers: Rc<PeerRing>,
+    /// The stream of jobs.
+    pub table: RefCell<FactTable>,
+    /// Offset of the next record of the stream of jobs.
+    pub position: Cell<u64>,
+    /// Whether the stream of jobs has been listed whole.
+    pub listed: Cell<bool>,
+    /// Configuration in force.
+    pub board: ConfigBoard,
+    /// Watches the owner.
+    pub watch: RefCell<SuccessionWatch>,
+    /// The owner's state while this host owns the pool.
+    pub owner: RefCell<Option<PoolOwner>>,
+    /// Wakes the owner's loop.
+    pub wake: Notify,
+    /// Whether the host shuts down.
+    pub draining: Cell<bool>,
+}
+
+impl<S: StorePort, O, R> HostParts<S, O, R> {
+    /// Creates the parts of a host that knows nothing yet.
+    pub fn new(identity: HostIdentity, store: S, orders: O, reader: R, peers: Rc<PeerRing>) -> Self {
+        let watch = SuccessionWatch::new(identity.name.clone(), identity.rank);
+        Self {
+            identity,
+            store: RelayStore::new(store, Rc::clone(&peers)),
+            orders,
+            reader,
+            peers,
+            table: RefCell::default(),
+            position: Cell::new(0),
+            listed: Cell::new(false),
+            board: ConfigBoard::default(),
+            watch: RefCell::new(watch),
+            owner: RefCell::new(None),
+            wake: Notify::new(),
+            draining: Cell::new(false),
+        }
+    }
+
+    /// Returns whether this host owns the pool.
+    pub fn is_owner(&self) -> bool {
+        self.owner.borrow().is_some()
+    }
+
+    /// Returns whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.listed.get() && self.board.current().is_some() && !self.draining.get()
+    }
+
+    /// Calls the store with the usual limit.
+    ///
+    /// # Errors
+    ///
+    /// The store's failure by every way that was tried.
+    pub async fn call_store(&self, call: &StoreCall) -> Result<StoreReply, StoreFailure> {
+        let limit = Duration::from_millis(STORE_LIMIT_MS);
+        self.store.call(call, limit).await
+    }
+
+    /// Applies records of the stream of jobs.
+    pub fn apply_jobs(&self, records: &[StreamRecord]) {
+        for record in records {
+            let change = self.table.borrow_mut().apply(record);
+            match change {
+                TableChange::Job(id) => self.tell_owner(&id),
+                TableChange::Owner => self.watch.borrow_mut().owner_heard(),
+                TableChange::Other => {}
+            }
+        }
+        self.note_hosts();
+    }
+
+    fn tell_owner(&self, id: &ObjectName) {
+        let mut owner = self.owner.borrow_mut();
+        let Some(owner) = owner.as_mut() else { return };
+        let table = self.table.borrow();
+        let Some(job) = table.job(id) else { return };
+        owner.set_time(host_time());
+        if let Some(fact) = &job.fact
+            && !job.phase.is_over()
+        {
+            owner.add_job(id, Rc::clone(fact), job.phase, None);
+        }
+        if job.cancelled {
+            owner.cancel(id);
+        }
+        self.wake.notify_one();
+    }
+
+    fn note_hosts(&self) {
+        for host in &self.table.borrow().hosts {
+            if host.name == self.identity.name {
+                continue;
+            }
+            match host.fact.gone {
+                true => self.peers.remove(host.fact.address),
+                false => self.peers.add(host.fact.address),
+            }
+        }
+    }
+
+    /// Reads the stream of jobs up to its present end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store cannot be reached, or the stream has not been listed yet.
+    pub async fn refresh_jobs(&self) -> Result<(), StoreFailure> {
+        if !self.listed.get() {
+            return Err(StoreFailure::NotDone("not listed yet".to_owned()));
+        }
+        loop {
+            let call = StoreCall::Read {
+                stream: StreamName::Jobs,
+                from: self.position.get(),
+                wait_ms: 0,
+            };
+            let reply = self.call_store(&call).await?;
+            self.apply_jobs(&reply.records);
+            let Some(last) = reply.records.last() else {
+                return Ok(());
+            };
+            self.position.set(self.position.get().max(last.offset + 1));
+            if self.position.get() >= reply.end {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Reads the newest configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store cannot be reached.
+    pub async fn refresh_config(&self) -> Result<(), StoreFailure>
+    where
+        R: crate::work::ports::RecordReader,
+    {
+        let asked_ms = steady_ms();
+        let call = StoreCall::Newest {
+            stream: StreamName::Config,
+            after: None,
+        };
+        let reply = self.call_store(&call).await?;
+        self.offer_configs(&reply.records);
+        self.board.confirm(asked_ms);
+        Ok(())
+    }
+
+    /// Puts the configurations among records in force, the newest last.
+    pub fn offer_configs(&self, records: &[StreamRecord])
+    where
+        R: crate::work::ports::RecordReader,
+    {
+        for record in records {
+            let Some(config) = self.reader.config(&record.entry) else {
+                continue;
+            };
+            if self.board.offer(config)
+                && let Some(owner) = self.owner.borrow_mut().as_mut()
+                && let Some(current) = self.board.current()
+            {
+                owner.set_config(current);
+                self.wake.notify_one();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/work/mod.rs
@@ -0,0 +1,28 @@
+//! Jobs of steps: tables, the store's streams, the pool's owner and the callers' desk.
+//!
+//! Facts stand in keyed streams of the platform's store. Every host follows the stream of
+//! jobs; one host at a time owns the pool, places tasks and drives the upstreams.
+
+pub mod amount;
+pub mod clock;
+pub mod config;
+pub mod config_board;
+pub mod desk;
+pub mod displace;
+pub mod fact;
+pub mod fact_table;
+pub mod follow;
+pub mod host;
+pub mod host_parts;
+pub mod order;
+pub mod owner;
+pub mod owner_loop;
+pub mod peers;
+pub mod place;
+pub mod ports;
+pub mod relay;
+pub mod spec;
+pub mod stream;
+pub mod succession;
+pub mod task_ref;
+pub mod upstream;
--- /dev/null
+++ b/src/work/owner/job_state.rs
@@ -0,0 +1,287 @@
+//! A job's tasks as the owner drives them.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use crate::tables::name::ObjectName;
+use crate::work::fact::{JobFact, JobPhase, PlaceFact, RunFact, UnitFact};
+use crate::work::spec::StepSpec;
+use crate::work::task_ref::TaskRef;
+
+/// What a unit is: one task, or all tasks of a gang.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnitShape {
+    /// Round of the job.
+    pub round: u32,
+    /// Step.
+    pub step: u32,
+    /// Index of its first task.
+    pub first: u32,
+    /// Number of its tasks.
+    pub count: u32,
+}
+
+/// Where a unit stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum UnitPhase {
+    /// Not placed.
+    #[default]
+    Waiting,
+    /// Placed; its members start or run.
+    Active,
+    /// Its members are being stopped, after which it waits again.
+    Stopping,
+    /// Done.
+    Done,
+}
+
+/// Where a member of a unit stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum MemberPhase {
+    /// On no upstream.
+    #[default]
+    Over,
+    /// Placed; the order to start waits for the record.
+    Planned,
+    /// The order to start is on its way or got no answer.
+    Sent,
+    /// The upstream has confirmed the run.
+    Running,
+}
+
+/// One task's place.
+#[derive(Clone, Debug, Default)]
+pub struct MemberState {
+    /// Where it stands.
+    pub phase: MemberPhase,
+    /// Its upstream, unless over.
+    pub upstream: Option<ObjectName>,
+    /// The upstream's life when it was placed.
+    pub born: u64,
+    /// The upstream's clock when the run was confirmed, in ms.
+    pub confirmed_ms: u64,
+    /// When the last order was sent, steady ms.
+    pub ordered_ms: u64,
+    /// Whether an order is on its way.
+    pub in_flight: bool,
+    /// Whether a start without an answer may still arrive.
+    pub start_unsure: bool,
+    /// Last progress reported, in hundredths.
+    pub percent: u32,
+    /// When the progress last rose, steady ms.
+    pub moved_ms: u64,
+}
+
+/// A unit's state.
+#[derive(Clone, Debug, Default)]
+pub struct UnitState {
+    /// Where it stands.
+    pub phase: UnitPhase,
+    /// Number of its last run.
+    pub run: u32,
+    /// Runs that failed.
+    pub failed: u32,
+    /// Newest checkpoint; empty for none.
+    pub saved: Arc<str>,
+    /// Checkpoint that the present run was started with.
+    pub resumed: Arc<str>,
+    /// Its tasks.
+    pub members: Vec<MemberState>,
+    /// Since when it could be placed or runs, steady ms.
+    pub since_ms: u64,
+    /// Upstreams where its runs failed, newest last.
+    pub failed_on: Vec<ObjectName>,
+    /// Whether it was stopped in favour of other work.
+    pub displaced: bool,
+}
+
+impl UnitState {
+    /// Returns whether no member is on an upstream.
+    pub fn is_clear(&self) -> bool {
+        let over = |member: &MemberState| member.phase == MemberPhase::Over;
+        self.members.iter().all(over)
+    }
+
+    /// Returns the lowest progress of its members, in hundredths.
+    pub fn percent(&self) -> u32 {
+        self.members
+            .iter()
+            .map(|member| member.percent)
+            .min()
+            .unwrap_or(0)
+    }
+}
+
+/// A job that is not over.
+#[derive(Clone, Debug)]
+pub struct JobState {
+    /// Its id.
+    pub id: ObjectName,
+    /// What was accepted.
+    pub fact: Rc<JobFact>,
+    /// Shapes of its units.
+    pub shapes: Vec<UnitShape>,
+    /// Units, parallel to the shapes.
+    pub units: Vec<UnitState>,
+    /// Its phase.
+    pub phase: JobPhase,
+    /// Phase that the stream of jobs shows.
+    pub recorded_phase: JobPhase,
+    /// Whether the tasks changed since they were last recorded.
+    pub dirty: bool,
+    /// When this owner first saw it, steady ms.
+    pub seen_ms: u64,
+}
+
+impl JobState {
+    /// Creates the state of a job of which nothing runs.
+    pub fn new(id: ObjectName, fact: Rc<JobFact>, phase: JobPhase, now_ms: u64) -> Self {
+        let shapes = unit_shapes(&fact);
+        let empty = |shape: &UnitShape| UnitState {
+            members: vec![MemberState::default(); shape.count as usize],
+            since_ms: now_ms,
+            ..UnitState::default()
+        };
+        Self {
+            units: shapes.iter().map(empty).collect(),
+            id,
+            fact,
+            shapes,
+            phase,
+            recorded_phase: phase,
+            dirty: false,
+            seen_ms: now_ms,
+        }
+    }
+
+    /// Takes over what an earlier owner recorded.
+    pub fn restore(&mut self, stored: &RunFact) {
+        for (unit, fact) in self.units.iter_mut().zip(&stored.units) {
+            unit.run = fact.run;
+            unit.failed = fact.failed;
+            unit.saved = fact.saved.clone();
+            unit.resumed = fact.saved.clone();
+            for place in &fact.places {
+                if let Some(member) = unit.members.get_mut(place.member as usize) {
+                    member.phase = MemberPhase::Sent;
+                    member.start_unsure = true;
+                    member.upstream = Some(place.upstream.clone());
+                    member.born = place.born;
+                }
+            }
+            let whole = fact.places.len() == unit.members.len();
+            unit.phase = match fact.done {
+                true => UnitPhase::Done,
+                false if unit.is_clear() => UnitPhase::Waiting,
+                false if whole => UnitPhase::Active,
+                false => UnitPhase::Stopping,
+            };
+        }
+    }
+
+    /// Returns what is recorded of its tasks.
+    pub fn run_fact(&self) -> RunFact {
+        RunFact {
+            units: self.units.iter().map(unit_fact).collect(),
+        }
+    }
+
+    /// Returns the step of a unit.
+    pub fn step(&self, unit: usize) -> &StepSpec {
+        &self.fact.spec.steps[self.shapes[unit].step as usize]
+    }
+
+    /// Returns the name of a unit's member.
+    pub fn task(&self, unit: usize, member: usize) -> TaskRef {
+        let shape = self.shapes[unit];
+        TaskRef {
+            job: self.id.clone(),
+            round: shape.round,
+            step: shape.step,
+            index: shape.first + member as u32,
+        }
+    }
+
+    /// Returns unit and member of a task's name.
+    pub fn locate(&self, task: &TaskRef) -> Option<(usize, usize)> {
+        let holds = |shape: &UnitShape| {
+            shape.round == task.round
+                && shape.step == task.step
+                && (shape.first..shape.first + shape.count).contains(&task.index)
+        };
+        let unit = self.shapes.iter().position(holds)?;
+        Some((unit, (task.index - self.shapes[unit].first) as usize))
+    }
+
+    /// Returns whether a unit's turn has come.
+    pub fn is_ready(&self, unit: usize, wall_ms: u64) -> bool {
+        let shape = self.shapes[unit];
+        self.units[unit].phase == UnitPhase::Waiting
+            && !self.phase.is_over()
+            && self.fact.spec.due_ms(shape.round) <= wall_ms
+            && self
+                .step(unit)
+                .after
+                .iter()
+                .all(|&step| self.step_done(shape.round, step))
+    }
+
+    fn step_done(&self, round: u32, step: u32) -> bool {
+        let of_step = |shape: &UnitShape| shape.round == round && shape.step == step;
+        let mut both = self.shapes.iter().zip(&self.units);
+        both.all(|(shape, unit)| !of_step(shape) || unit.phase == UnitPhase::Done)
+    }
+
+    /// Returns whether all units are done.
+    pub fn is_done(&self) -> bool {
+        self.units.iter().all(|unit| unit.phase == UnitPhase::Done)
+    }
+
+    /// Returns whether nothing of it is on an upstream.
+    pub fn is_clear(&self) -> bool {
+        self.units.iter().all(UnitState::is_clear)
+    }
+}
+
+fn unit_fact(unit: &UnitState) -> UnitFact {
+    let place = |(index, member): (usize, &MemberState)| {
+        let upstream = member.upstream.clone()?;
+        Some(PlaceFact {
+            member: index as u32,
+            upstream,
+            born: member.born,
+        })
+    };
+    // While a run is on its way, what it was started with must not change.
+    let saved = match unit.phase {
+        UnitPhase::Active => &unit.resumed,
+        _ => &unit.saved,
+    };
+    UnitFact {
+        done: unit.phase == UnitPhase::Done,
+        run: unit.run,
+        failed: unit.failed,
+        saved: saved.clone(),
+        places: unit.members.iter().enumerate().filter_map(place).collect(),
+    }
+}
+
+fn unit_shapes(fact: &JobFact) -> Vec<UnitShape> {
+    let mut shapes = Vec::new();
+    for round in 0..fact.spec.rounds() {
+        for (index, step) in fact.spec.steps.iter().enumerate() {
+            let step_index = index as u32;
+            let (units, count) = match step.gang {
+                true => (1, step.count),
+                false => (step.count, 1),
+            };
+            shapes.extend((0..units).map(|unit| UnitShape {
+                round,
+                step: step_index,
+                first: unit * count,
+                count,
+            }));
+        }
+    }
+    shapes
+}
--- /dev/null
+++ b/src/work/owner/mod.rs
@@ -0,0 +1,426 @@
+//! The pool's owner: places tasks and drives the upstreams. It knows no socket; it takes
+//! events and gives orders.
+//!
+//! Nothing is ordered before the record that allows it is in the store: rows are collected
+//! into batches, and an order waits for its batch.
+
+pub mod cancel;
+pub mod job_state;
+pub mod planning;
+pub mod renewals;
+pub mod replies;
+pub mod upstream_state;
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use crate::tables::name::ObjectName;
+use crate::work::clock::{ClockReading, HostTime, surely_passed_ms};
+use crate::work::config::WorkConfig;
+use crate::work::fact::{JobFact, JobPhase, RunFact, WorkFact, run_entry};
+use crate::work::owner::job_state::{JobState, MemberPhase, UnitPhase};
+use crate::work::owner::upstream_state::{HeldTask, UpstreamState};
+use crate::work::stream::KeyedValue;
+use crate::work::upstream::{RenewOrder, StartOrder, StopOrder, UpstreamReport};
+
+/// Time after a lease's end until its tasks surely run no more, in ms.
+const LAPSE_MARGIN_MS: u64 = 250;
+/// Longest time between two rounds of placement, in ms.
+const PLAN_EVERY_MS: u64 = 250;
+
+/// Bounds that the owner works within.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwnerTiming {
+    /// Length of a lease, in ms.
+    pub lease_ms: u64,
+    /// Longest time that an earlier owner may have given orders after its last proof of
+    /// ownership, in ms.
+    pub authority_ms: u64,
+    /// How many times longer a task takes away from its data or spread over racks.
+    pub far_factor: u64,
+}
+
+/// An order to an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum UpstreamOrder {
+    /// Start a run.
+    Start(StartOrder),
+    /// Stop a run.
+    Stop(StopOrder),
+    /// Renew the lease and look.
+    Renew(RenewOrder),
+}
+
+/// Rows to be recorded before the orders of the same batch go out.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RowBatch {
+    /// Number of the batch.
+    pub number: u64,
+    /// For the stream of runs.
+    pub runs: Vec<KeyedValue>,
+    /// For the stream of jobs, after the runs.
+    pub jobs: Vec<KeyedValue>,
+}
+
+struct GatedOrder {
+    batch: u64,
+    order: StartOrder,
+}
+
+/// The owner's state.
+pub struct PoolOwner {
+    term: u64,
+    timing: OwnerTiming,
+    config: Rc<WorkConfig>,
+    jobs: Vec<JobState>,
+    upstreams: Vec<UpstreamState>,
+    gated: VecDeque<GatedOrder>,
+    ready: Vec<UpstreamOrder>,
+    batch: u64,
+    durable: u64,
+    phases: Vec<(ObjectName, JobPhase)>,
+    dropped: Vec<ObjectName>,
+    now: HostTime,
+    plan_due: bool,
+    /// When a round of placement is due without any event, steady ms.
+    plan_ms: u64,
+    deposed: bool,
+    /// Highest wait of leases that earlier owners may have given, steady ms.
+    inherited_ms: u64,
+}
+
+impl PoolOwner {
+    /// Creates the owner of a term.
+    pub fn new(term: u64, timing: OwnerTiming, config: Rc<WorkConfig>, now: HostTime) -> Self {
+        let inherited = timing.authority_ms + surely_passed_ms(timing.lease_ms) + LAPSE_MARGIN_MS;
+        Self {
+            term,
+            timing,
+            config,
+            jobs: Vec::new(),
+            upstreams: Vec::new(),
+            gated: VecDeque::new(),
+            ready: Vec::new(),
+            batch: 1,
+            durable: 0,
+            phases: Vec::new(),
+            dropped: Vec::new(),
+            now,
+            plan_due: true,
+            plan_ms: 0,
+            deposed: false,
+            inherited_ms: now.steady_ms + inherited,
+        }
+    }
+
+    /// Returns the owner's term.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Returns whether an upstream has obeyed a later owner.
+    pub fn is_deposed(&self) -> bool {
+        self.deposed
+    }
+
+    /// Returns the jobs that are not over.
+    pub fn jobs(&self) -> &[JobState] {
+        &self.jobs
+    }
+
+    /// Returns the upstreams.
+    pub fn upstreams(&self) -> &[UpstreamState] {
+        &self.upstreams
+    }
+
+    /// Sets the time of the events that follow.
+    pub fn set_time(&mut self, now: HostTime) {
+        self.now = now;
+    }
+
+    /// Takes over a new configuration.
+    pub fn set_config(&mut self, config: Rc<WorkConfig>) {
+        self.config = config;
+        self.plan_due = true;
+    }
+
+    /// Adds a job with what an earlier owner recorded of its tasks.
+    pub fn add_job(
+        &mut self,
+        id: &ObjectName,
+        fact: Rc<JobFact>,
+        phase: JobPhase,
+        stored: Option<&RunFact>,
+    ) {
+        let Err(index) = self.jobs.binary_search_by(|job| job.id.cmp(id)) else {
+            return;
+        };
+        let mut job = JobState::new(id.clone(), fact, phase, self.now.steady_ms);
+        if let Some(stored) = stored {
+            job.restore(stored);
+            self.adopt(&job);
+        }
+        self.jobs.insert(index, job);
+        self.plan_due = true;
+    }
+
+    /// Counts what a job has on upstreams already.
+    fn adopt(&mut self, job: &JobState) {
+        for (unit, state) in job.units.iter().enumerate() {
+            for (member, at) in state.members.iter().enumerate() {
+                let Some(name) = &at.upstream else { continue };
+                let held = HeldTask {
+                    job: job.id.clone(),
+                    unit,
+                    member,
+                    need: job.step(unit).need,
+                };
+                let inherited_ms = self.inherited_ms;
+                let upstream = self.upstream_mut(name);
+                upstream.lapsed_ms = upstream.lapsed_ms.max(inherited_ms);
+                upstream.hold(held);
+            }
+        }
+    }
+
+    fn job_index(&self, id: &ObjectName) -> Option<usize> {
+        self.jobs.binary_search_by(|job| job.id.cmp(id)).ok()
+    }
+
+    fn upstream_index(&self, name: &ObjectName) -> Option<usize> {
+        let found = self.upstreams.binary_search_by(|one| one.name.cmp(name));
+        found.ok()
+    }
+
+    fn upstream_mut(&mut self, name: &ObjectName) -> &mut UpstreamState {
+        let index = match self.upstreams.binary_search_by(|one| one.name.cmp(name)) {
+            Ok(index) => index,
+            Err(index) => {
+                self.upstreams
+                    .insert(index, UpstreamState::new(name.clone()));
+                index
+            }
+        };
+        &mut self.upstreams[index]
+    }
+
+    /// Takes an upstream's report from the list.
+    pub fn on_report(&mut self, report: UpstreamReport) {
+        let now_ms = self.now.steady_ms;
+        let name = report.name.clone();
+        let born = report.born;
+        let reading = ClockReading {
+            shown_ms: report.clock_ms,
+            arrived_ms: now_ms,
+        };
+        let upstream = self.upstream_mut(&name);
+        let opened = !upstream.listed
+            || upstream.report.as_ref().is_none_or(|old| {
+                old.draining != report.draining || old.capacity != report.capacity
+            });
+        upstream.address = Some(report.address);
+        upstream.listed = true;
+        upstream.report = Some(report);
+        let reborn = born > upstream.born;
+        if !reborn && born == upstream.born {
+            upstream.clock = Some(upstream.clock.map_or(reading, |old| old.later(reading)));
+        }
+        if reborn {
+            self.on_birth(&name, born, reading);
+        }
+        self.plan_due |= opened || reborn;
+    }
+
+    /// Notes that an upstream has left the list.
+    pub fn on_unlisted(&mut self, name: &ObjectName) {
+        let now_ms = self.now.steady_ms;
+        let Some(index) = self.upstream_index(name) else {
+            return;
+        };
+        let upstream = &mut self.upstreams[index];
+        if upstream.listed {
+            log::info!(upstream = name.as_str(); "owner: an upstream has left the list.");
+        }
+        upstream.listed = false;
+        upstream.unlisted_ms = now_ms;
+    }
+
+    /// Returns the names of the upstreams on the list.
+    pub fn listed(&self) -> Vec<ObjectName> {
+        let listed = self.upstreams.iter().filter(|upstream| upstream.listed);
+        listed.map(|upstream| upstream.name.clone()).collect()
+    }
+
+    /// A new life of an upstream holds nothing of the one before.
+    fn on_birth(&mut self, name: &ObjectName, born: u64, reading: ClockReading) {
+        let upstream = self.upstream_mut(name);
+        let first = upstream.born == 0;
+        upstream.born = born;
+        upstream.clock = Some(reading);
+        upstream.seen_end = 0;
+        upstream.recorded_end = 0;
+        upstream.told_end = 0;
+        upstream.end_batch = None;
+        if !first {
+            // Late orders to the life before carry a lower token.
+            upstream.lives += 1;
+            upstream.looked = false;
+            log::info!(upstream = name.as_str(), born; "owner: an upstream was born again.");
+        }
+        let held = upstream.held.clone();
+        for task in held {
+            let Some(job) = self.job_index(&task.job) else {
+                continue;
+            };
+            let member = &self.jobs[job].units[task.unit].members[task.member];
+            if member.born != 0 && member.born < born {
+                self.member_lost(job, task.unit, task.member, "born again");
+            }
+        }
+    }
+
+    /// Removes a member from its upstream.
+    fn clear_member(&mut self, job: usize, unit: usize, member: usize) {
+        let id = self.jobs[job].id.clone();
+        let state = &mut self.jobs[job].units[unit].members[member];
+        let upstream = state.upstream.take();
+        state.phase = MemberPhase::Over;
+        state.start_unsure = false;
+        state.in_flight = false;
+        state.percent = 0;
+        self.jobs[job].dirty = true;
+        self.plan_due = true;
+        if let Some(name) = upstream
+            && let Some(index) = self.upstream_index(&name)
+        {
+            self.upstreams[index].release(&id, unit, member);
+        }
+    }
+
+    /// A member surely runs no more, without an end of its own.
+    fn member_lost(&mut self, job: usize, unit: usize, member: usize, reason: &str) {
+        let task = self.jobs[job].task(unit, member);
+        let run = self.jobs[job].units[unit].run;
+        log::info!(job = task.job.as_str(), task:% = task, run, reason; "owner: a run is lost.");
+        self.clear_member(job, unit, member);
+        self.stop_unit(job, unit);
+    }
+
+    /// Stops what is left of a unit's run; it waits again once all members are over.
+    fn stop_unit(&mut self, job: usize, unit: usize) {
+        let state = &mut self.jobs[job].units[unit];
+        if state.phase == UnitPhase::Active {
+            state.phase = UnitPhase::Stopping;
+            self.jobs[job].dirty = true;
+        }
+        self.settle_unit(job, unit);
+    }
+
+    fn settle_unit(&mut self, job: usize, unit: usize) {
+        let now_ms = self.now.steady_ms;
+        let state = &mut self.jobs[job].units[unit];
+        if state.phase == UnitPhase::Stopping && state.is_clear() {
+            state.phase = UnitPhase::Waiting;
+            state.since_ms = now_ms;
+            self.jobs[job].dirty = true;
+            self.plan_due = true;
+        }
+    }
+
+    /// Sets a job's phase, once.
+    fn set_phase(&mut self, job: usize, phase: JobPhase) {
+        let state = &mut self.jobs[job];
+        if state.phase == phase || state.phase.is_over() {
+            return;
+        }
+        state.phase = phase;
+        let waited_ms = self.now.wall_ms.saturating_sub(state.fact.accepted_ms);
+        log::info!(
+            job = state.id.as_str(), phase:? = phase, after_ms = waited_ms,
+            queue = state.fact.queue.as_str();
+            "owner: a job has reached a phase."
+        );
+        if phase.is_over() {
+            for unit in 0..self.jobs[job].units.len() {
+                self.stop_unit(job, unit);
+            }
+        }
+    }
+
+    /// Does all that is due; call after events and at least every 100 ms.
+    pub fn tick(&mut self, now: HostTime) {
+        self.now = now;
+        self.lapse_silent();
+        if self.plan_due || now.steady_ms >= self.plan_ms {
+            self.plan_due = false;
+            self.plan_ms = now.steady_ms + PLAN_EVERY_MS;
+            self.plan();
+        }
+        self.drive_members();
+        self.renew_upstreams();
+        self.note_phases();
+    }
+
+    /// Collects phases that changed, and jobs that are over and clear.
+    fn note_phases(&mut self) {
+        for job in &mut self.jobs {
+            if job.phase != job.recorded_phase {
+                job.recorded_phase = job.phase;
+                self.phases.push((job.id.clone(), job.phase));
+            }
+        }
+        let finished = |job: &JobState| job.phase.is_over() && job.is_clear();
+        for job in self.jobs.iter().filter(|job| finished(job)) {
+            self.dropped.push(job.id.clone());
+        }
+        self.jobs.retain(|job| !finished(job));
+    }
+
+    /// Returns the rows to record next, or none if nothing changed.
+    pub fn take_batch(&mut self) -> Option<RowBatch> {
+        let mut batch = RowBatch {
+            number: self.batch,
+            ..RowBatch::default()
+        };
+        for job in self.jobs.iter_mut().filter(|job| job.dirty) {
+            job.dirty = false;
+            batch.runs.push(run_entry(&job.id, Some(&job.run_fact())));
+        }
+        for job in self.dropped.drain(..) {
+            batch.runs.push(run_entry(&job, None));
+        }
+        for (job, phase) in self.phases.drain(..) {
+            batch.jobs.push(KeyedValue::from(&WorkFact::Phase(job, phase)));
+        }
+        let waits = self.gated.iter().any(|gated| gated.batch == self.batch)
+            || self
+                .upstreams
+                .iter()
+                .any(|upstream| upstream.end_batch == Some(self.batch));
+        if batch.runs.is_empty() && batch.jobs.is_empty() && !waits {
+            return None;
+        }
+        self.batch += 1;
+        Some(batch)
+    }
+
+    /// Notes that a batch is in the store.
+    pub fn on_durable(&mut self, number: u64) {
+        self.durable = number;
+        while let Some(gated) = self.gated.pop_front_if(|gated| gated.batch <= number) {
+            self.release_start(gated.order);
+        }
+        for upstream in &mut self.upstreams {
+            if upstream.end_batch.is_some_and(|batch| batch <= number) {
+                upstream.end_batch = None;
+                upstream.recorded_end = upstream.seen_end;
+                upstream.renew_ms = 0;
+            }
+        }
+    }
+
+    /// Returns the orders that may go out now.
+    pub fn take_orders(&mut self) -> Vec<UpstreamOrder> {
+        std::mem::take(&mut self.ready)
+    }
+}
--- /dev/null
+++ b/src/work/owner/renewals.rs
@@ -0,0 +1,223 @@
+//! Leases: renewed while the owner hears from an upstream, and waited out when it does not.
+//!
+//! Answers this pattern: upstreams are cut off or freeze and run on. Their tasks run
+//! elsewhere only once their leases are over on the upstream's own, slower clock.
+
+use crate::work::clock::surely_passed_ms;
+use crate::work::owner::job_state::{MemberPhase, UnitPhase};
+use crate::work::owner::{GatedOrder, LAPSE_MARGIN_MS, PoolOwner, UpstreamOrder};
+use crate::work::upstream::{RenewOrder, StartOrder, StopOrder};
+
+/// How long a renewal waits at the upstream for an end, in ms.
+const RENEW_WAIT_MS: u64 = 1_500;
+/// Pause before an upstream that gave no answer is asked again, in ms.
+const RETRY_MS: u64 = 150;
+/// Pause between looks while ends wait to be recorded, in ms.
+pub(super) const RECORD_PAUSE_MS: u64 = 500;
+/// Pause before an order that got no answer is sent again, in ms.
+const RESEND_MS: u64 = 700;
+
+impl PoolOwner {
+    /// Gives up tasks whose leases are over at upstreams that give no answer.
+    pub(super) fn lapse_silent(&mut self) {
+        let now_ms = self.now.steady_ms;
+        for index in 0..self.upstreams.len() {
+            let upstream = &self.upstreams[index];
+            let silent = upstream.silent_count > 0 || upstream.address.is_none();
+            if !silent || upstream.held.is_empty() || upstream.lapsed_ms > now_ms {
+                continue;
+            }
+            let name = upstream.name.clone();
+            let age_ms = now_ms - upstream.lapsed_ms;
+            log::warn!(
+                upstream = name.as_str(), tasks = upstream.held.len(), lapsed_for_ms = age_ms;
+                "owner: leases of a silent upstream are over."
+            );
+            for task in upstream.held.clone() {
+                if let Some(job) = self.job_index(&task.job) {
+                    self.member_lost(job, task.unit, task.member, "lease over");
+                }
+            }
+            // Tasks of jobs that are gone.
+            self.upstreams[index].held.clear();
+            self.upstreams[index].used = Default::default();
+        }
+    }
+
+    /// Renews where a renewal is due.
+    pub(super) fn renew_upstreams(&mut self) {
+        let now_ms = self.now.steady_ms;
+        for index in 0..self.upstreams.len() {
+            let upstream = &mut self.upstreams[index];
+            let due = upstream.wants_renewal()
+                && !upstream.renewing
+                && upstream.renew_ms <= now_ms;
+            if !due {
+                continue;
+            }
+            let Some(target) = upstream.target(self.term) else {
+                continue;
+            };
+            // Ends that are not yet recorded are listed again at once.
+            let calm =
+                upstream.looked && upstream.silent_count == 0 && upstream.end_batch.is_none();
+            let wait_ms = match calm && !upstream.held.is_empty() {
+                true => RENEW_WAIT_MS,
+                false => 0,
+            };
+            // A first look finds out what runs there before it prolongs anything.
+            let lease_until_ms = upstream
+                .clock
+                .map(|clock| clock.at_least(now_ms) + self.timing.lease_ms);
+            upstream.renewing = true;
+            upstream.told_end = upstream.recorded_end;
+            let lapsed_ms =
+                now_ms + surely_passed_ms(self.timing.lease_ms) + LAPSE_MARGIN_MS;
+            upstream.lapsed_ms = upstream.lapsed_ms.max(lapsed_ms);
+            self.ready.push(UpstreamOrder::Renew(RenewOrder {
+                target,
+                lease_until_ms,
+                recorded_up_to: upstream.recorded_end,
+                wait_ms,
+            }));
+        }
+    }
+
+    /// Notes when an upstream may be asked again after it gave no answer.
+    pub(super) fn renew_later(&mut self, upstream: usize) {
+        self.upstreams[upstream].renew_ms = self.now.steady_ms + RETRY_MS;
+    }
+
+    /// Sends orders to members that should start or stop.
+    pub(super) fn drive_members(&mut self) {
+        for job in 0..self.jobs.len() {
+            for unit in 0..self.jobs[job].units.len() {
+                let phase = self.jobs[job].units[unit].phase;
+                if matches!(phase, UnitPhase::Waiting) {
+                    continue;
+                }
+                for member in 0..self.jobs[job].units[unit].members.len() {
+                    self.drive_member(job, unit, member);
+                }
+            }
+        }
+    }
+
+    fn drive_member(&mut self, job: usize, unit: usize, member: usize) {
+        let now_ms = self.now.steady_ms;
+        let state = &self.jobs[job].units[unit].members[member];
+        if state.in_flight || state.phase == MemberPhase::Over {
+            return;
+        }
+        let phase = self.jobs[job].units[unit].phase;
+        let rested = now_ms.saturating_sub(state.ordered_ms) >= RESEND_MS;
+        match (phase, state.phase) {
+            (UnitPhase::Active, MemberPhase::Planned) => self.send_start(job, unit, member, true),
+            (UnitPhase::Active, MemberPhase::Sent) if rested => {
+                self.send_start(job, unit, member, false);
+            }
+            (UnitPhase::Stopping, MemberPhase::Planned) => {
+                // Its order to start has not gone out.
+                self.clear_member(job, unit, member);
+                self.settle_unit(job, unit);
+            }
+            (UnitPhase::Stopping, _) if rested || state.ordered_ms == 0 => {
+                self.send_stop(job, unit, member);
+            }
+            _ => {}
+        }
+    }
+
+    fn send_start(&mut self, job: usize, unit: usize, member: usize, gated: bool) {
+        let now_ms = self.now.steady_ms;
+        let state = &self.jobs[job].units[unit];
+        let Some(index) = state.members[member]
+            .upstream
+            .as_ref()
+            .and_then(|name| self.upstream_index(name))
+        else {
+            return;
+        };
+        let upstream = &mut self.upstreams[index];
+        let (Some(target), Some(clock)) = (upstream.target(self.term), upstream.clock) else {
+            return;
+        };
+        // After a change of owner, a look comes before a start is sent again.
+        if !gated && !upstream.looked {
+            return;
+        }
+        let lapsed_ms = now_ms + surely_passed_ms(self.timing.lease_ms) + LAPSE_MARGIN_MS;
+        upstream.lapsed_ms = upstream.lapsed_ms.max(lapsed_ms);
+        let order = StartOrder {
+            target,
+            task: self.jobs[job].task(unit, member),
+            run: state.run,
+            payload: self.jobs[job].fact.spec.payload.clone(),
+            saved: state.resumed.clone(),
+            lease_until_ms: clock.at_least(now_ms) + self.timing.lease_ms,
+        };
+        let state = &mut self.jobs[job].units[unit].members[member];
+        state.phase = MemberPhase::Sent;
+        state.in_flight = true;
+        state.ordered_ms = now_ms;
+        if gated {
+            let batch = self.batch;
+            self.gated.push_back(GatedOrder { batch, order });
+        } else {
+            self.ready.push(UpstreamOrder::Start(order));
+        }
+    }
+
+    /// Sends a start whose record is in the store, unless it is no longer wanted.
+    pub(super) fn release_start(&mut self, mut order: StartOrder) {
+        let Some(job) = self.job_index(&order.task.job) else {
+            return;
+        };
+        let Some((unit, member)) = self.jobs[job].locate(&order.task) else {
+            return;
+        };
+        let state = &self.jobs[job].units[unit];
+        let here = state.run == order.run
+            && state.members[member].upstream.as_ref() == Some(&order.target.upstream);
+        if !here {
+            return;
+        }
+        if state.phase != UnitPhase::Active {
+            self.clear_member(job, unit, member);
+            self.settle_unit(job, unit);
+            return;
+        }
+        let now_ms = self.now.steady_ms;
+        let lease_ms = self.timing.lease_ms;
+        if let Some(index) = self.upstream_index(&order.target.upstream) {
+            let upstream = &mut self.upstreams[index];
+            if let Some(clock) = upstream.clock {
+                order.lease_until_ms = clock.at_least(now_ms) + lease_ms;
+            }
+            let lapsed_ms = now_ms + surely_passed_ms(lease_ms) + LAPSE_MARGIN_MS;
+            upstream.lapsed_ms = upstream.lapsed_ms.max(lapsed_ms);
+        }
+        self.jobs[job].units[unit].members[member].ordered_ms = now_ms;
+        self.ready.push(UpstreamOrder::Start(order));
+    }
+
+    fn send_stop(&mut self, job: usize, unit: usize, member: usize) {
+        let now_ms = self.now.steady_ms;
+        let state = &self.jobs[job].units[unit];
+        let target = state.members[member]
+            .upstream
+            .as_ref()
+            .and_then(|name| self.upstream_index(name))
+            .and_then(|index| self.upstreams[index].target(self.term));
+        let Some(target) = target else { return };
+        let order = StopOrder {
+            target,
+            task: self.jobs[job].task(unit, member),
+            run: state.run,
+        };
+        let state = &mut self.jobs[job].units[unit].members[member];
+        state.in_flight = true;
+        state.ordered_ms = now_ms;
+        self.ready.push(UpstreamOrder::Stop(order));
+    }
+}
--- /dev/null
+++ b/src/work/owner/replies.rs
@@ -0,0 +1,367 @@
+//! What upstreams answer.
+
+use std::sync::Arc;
+
+use crate::tables::name::ObjectName;
+use crate::work::clock::ClockReading;
+use crate::work::fact::JobPhase;
+use crate::work::owner::job_state::{MemberPhase, UnitPhase};
+use crate::work::owner::renewals::RECORD_PAUSE_MS;
+use crate::work::owner::{PoolOwner, UpstreamOrder};
+use crate::work::upstream::{
+    EndKind, EndedTask, OrderFailure, RenewReply, RunningTask, StartOrder, StartOutcome,
+    StartRefusal, StopOrder,
+};
+
+/// Blame for one failed run.
+const BLAME_FAILURE: f64 = 1.0;
+/// Blame at which an upstream gets no new work for a while.
+const BLAME_BAR: f64 = 2.0;
+/// How long it gets none, in ms.
+const BAR_MS: u64 = 8_000;
+/// Factor of an upstream's blame with each run that is done.
+const BLAME_DECAY: f64 = 0.3;
+/// How long an upstream that says that it is unwell gets no new work, in ms.
+const UNWELL_MS: u64 = 2_000;
+/// How long an upstream must be off the list before an address that refuses connections
+/// proves that it is gone, in ms.
+const GONE_MS: u64 = 1_000;
+
+impl PoolOwner {
+    /// Takes the answer to an order to start.
+    pub fn on_started(&mut self, order: &StartOrder, outcome: StartOutcome) {
+        let now_ms = self.now.steady_ms;
+        let Some((job, unit, member)) = self.ordered(order.task_key()) else {
+            return;
+        };
+        let task = &order.task;
+        let upstream = order.target.upstream.as_str();
+        let state = &mut self.jobs[job].units[unit].members[member];
+        state.in_flight = false;
+        match outcome {
+            StartOutcome::Started { clock_ms } => {
+                log::info!(
+                    job = task.job.as_str(), task:% = task, run = order.run, upstream,
+                    took_ms = now_ms.saturating_sub(state.ordered_ms), clock_ms;
+                    "owner: a run has started."
+                );
+                state.phase = MemberPhase::Running;
+                state.start_unsure = false;
+                state.confirmed_ms = clock_ms;
+                state.moved_ms = now_ms;
+                if !self.jobs[job].phase.is_over() {
+                    self.set_phase(job, JobPhase::Running);
+                }
+            }
+            StartOutcome::Refused(refusal) => {
+                log::info!(
+                    job = task.job.as_str(), task:% = task, run = order.run, upstream,
+                    refusal:? = refusal; "owner: a start was refused."
+                );
+                self.on_refused(job, unit, member, refusal);
+            }
+            StartOutcome::Unknown => {
+                log::info!(
+                    job = task.job.as_str(), task:% = task, run = order.run, upstream;
+                    "owner: a start got no answer."
+                );
+                state.start_unsure = true;
+                let name = order.target.upstream.clone();
+                self.look_soon(&name);
+            }
+        }
+    }
+
+    fn on_refused(&mut self, job: usize, unit: usize, member: usize, refusal: StartRefusal) {
+        let now_ms = self.now.steady_ms;
+        let state = &self.jobs[job].units[unit].members[member];
+        let Some(name) = state.upstream.clone() else {
+            return;
+        };
+        let unsure = state.start_unsure;
+        match refusal {
+            StartRefusal::Fenced => self.deposed = true,
+            // An earlier copy of the order may have started it, or may still.
+            StartRefusal::Late | StartRefusal::Rejected if unsure => self.stop_unit(job, unit),
+            StartRefusal::Room | StartRefusal::Unwell if unsure => self.stop_unit(job, unit),
+            StartRefusal::Late => self.jobs[job].units[unit].members[member].ordered_ms = 0,
+            StartRefusal::Old => self.member_lost(job, unit, member, "ended there before"),
+            StartRefusal::Room | StartRefusal::Unwell | StartRefusal::Rejected => {
+                self.clear_member(job, unit, member);
+                self.stop_unit(job, unit);
+                if let Some(index) = self.upstream_index(&name) {
+                    let upstream = &mut self.upstreams[index];
+                    upstream.barred_ms = now_ms + UNWELL_MS;
+                }
+            }
+        }
+    }
+
+    /// Takes the answer to an order to stop.
+    pub fn on_stopped(&mut self, order: &StopOrder, result: Result<u64, OrderFailure>) {
+        let key = (&order.task, order.run, &order.target.upstream);
+        let Some((job, unit, member)) = self.ordered(key) else {
+            return;
+        };
+        let state = &mut self.jobs[job].units[unit].members[member];
+        state.in_flight = false;
+        match result {
+            Ok(clock_ms) => {
+                // From here on the run is either listed as ended or never was there.
+                state.confirmed_ms = clock_ms;
+                state.start_unsure = false;
+                let name = order.target.upstream.clone();
+                self.look_soon(&name);
+            }
+            Err(OrderFailure::Fenced) => self.deposed = true,
+            Err(_) => {}
+        }
+    }
+
+    fn ordered(
+        &self,
+        (task, run, upstream): (
+            &crate::work::task_ref::TaskRef,
+            u32,
+            &ObjectName,
+        ),
+    ) -> Option<(usize, usize, usize)> {
+        let job = self.job_index(&task.job)?;
+        let (unit, member) = self.jobs[job].locate(task)?;
+        let state = &self.jobs[job].units[unit];
+        let here = state.members[member].upstream.as_ref() == Some(upstream);
+        (here && state.run == run).then_some((job, unit, member))
+    }
+
+    fn look_soon(&mut self, name: &ObjectName) {
+        if let Some(index) = self.upstream_index(name) {
+            self.upstreams[index].renew_ms = 0;
+        }
+    }
+
+    /// Takes the answer to a renewal.
+    pub fn on_renewed(&mut self, name: &ObjectName, result: Result<RenewReply, OrderFailure>) {
+        let Some(index) = self.upstream_index(name) else {
+            return;
+        };
+        self.upstreams[index].renewing = false;
+        match result {
+            Ok(reply) => self.on_look(index, reply),
+            Err(OrderFailure::Fenced) => self.deposed = true,
+            Err(failure) => self.on_silence(index, failure),
+        }
+    }
+
+    fn on_silence(&mut self, index: usize, failure: OrderFailure) {
+        let now_ms = self.now.steady_ms;
+        let upstream = &mut self.upstreams[index];
+        if upstream.silent_count == 0 {
+            log::warn!(
+                upstream = upstream.name.as_str(), failure:? = failure,
+                lease_over_in_ms = upstream.lapsed_ms.saturating_sub(now_ms);
+                "owner: an upstream is lost."
+            );
+        }
+        upstream.silent_count += 1;
+        // What it was told of recorded ends may not have arrived.
+        upstream.told_end = 0;
+        let gone = failure == OrderFailure::Refused
+            && !upstream.listed
+            && now_ms.saturating_sub(upstream.unlisted_ms) >= GONE_MS;
+        if gone {
+            upstream.lapsed_ms = now_ms;
+        }
+        if upstream.held.is_empty() && !upstream.listed {
+            upstream.told_end = upstream.recorded_end;
+        }
+        self.renew_later(index);
+    }
+
+    fn on_look(&mut self, index: usize, reply: RenewReply) {
+        let now_ms = self.now.steady_ms;
+        let name = self.upstreams[index].name.clone();
+        let reading = ClockReading {
+            shown_ms: reply.clock_ms,
+            arrived_ms: now_ms,
+        };
+        let born = self.upstreams[index].born;
+        if reply.born != 0 && reply.born < born {
+            return;
+        }
+        if reply.born > born {
+            self.on_birth(&name, reply.born, reading);
+        }
+        let upstream = &mut self.upstreams[index];
+        if upstream.silent_count > 0 {
+            log::info!(upstream = name.as_str(); "owner: an upstream is back.");
+            self.plan_due = true;
+        }
+        self.plan_due |= !upstream.looked;
+        upstream.looked = true;
+        upstream.silent_count = 0;
+        upstream.clock = Some(upstream.clock.map_or(reading, |old| old.later(reading)));
+        upstream.renew_ms = now_ms;
+        self.take_running(&name, &reply);
+        self.take_ended(index, &reply.ended);
+        self.take_missing(&name, &reply);
+    }
+
+    fn take_ended(&mut self, index: usize, ended: &[EndedTask]) {
+        let name = self.upstreams[index].name.clone();
+        let seen = self.upstreams[index].seen_end;
+        let mut fresh: Vec<&EndedTask> = ended.iter().filter(|end| end.number > seen).collect();
+        fresh.sort_by_key(|end| end.number);
+        for end in &fresh {
+            self.on_end(&name, end);
+        }
+        let batch = self.batch;
+        let upstream = &mut self.upstreams[index];
+        if let Some(last) = fresh.last() {
+            upstream.seen_end = last.number;
+            upstream.end_batch = Some(batch);
+        }
+        if upstream.end_batch.is_some() {
+            upstream.renew_ms = self.now.steady_ms + RECORD_PAUSE_MS;
+        }
+    }
+
+    fn on_end(&mut self, name: &ObjectName, end: &EndedTask) {
+        log::info!(
+            job = end.task.job.as_str(), task:% = end.task, run = end.run,
+            upstream = name.as_str(), how:? = end.kind; "owner: a run has ended."
+        );
+        let Some((job, unit, member)) = self.ordered((&end.task, end.run, name)) else {
+            return;
+        };
+        let lasting = self.jobs[job].step(unit).lasting;
+        let state = &mut self.jobs[job].units[unit];
+        if !end.saved.is_empty() {
+            state.saved = Arc::clone(&end.saved);
+        }
+        self.clear_member(job, unit, member);
+        match end.kind {
+            EndKind::Done if !lasting => self.on_done(job, unit, name),
+            EndKind::Failed => self.on_failed(job, unit, name),
+            _ => self.stop_unit(job, unit),
+        }
+    }
+
+    fn on_done(&mut self, job: usize, unit: usize, name: &ObjectName) {
+        if let Some(index) = self.upstream_index(name) {
+            self.upstreams[index].blame *= BLAME_DECAY;
+        }
+        let state = &mut self.jobs[job].units[unit];
+        state.phase = UnitPhase::Done;
+        if self.jobs[job].is_done() {
+            self.set_phase(job, JobPhase::Completed);
+        }
+        self.plan_due = true;
+    }
+
+    fn on_failed(&mut self, job: usize, unit: usize, name: &ObjectName) {
+        let now_ms = self.now.steady_ms;
+        if let Some(index) = self.upstream_index(name) {
+            let upstream = &mut self.upstreams[index];
+            upstream.blame += BLAME_FAILURE;
+            if upstream.blame >= BLAME_BAR {
+                upstream.barred_ms = now_ms + BAR_MS;
+                log::warn!(
+                    upstream = name.as_str(), failures = upstream.blame, for_ms = BAR_MS;
+                    "owner: an upstream that fails its work gets none for a while."
+                );
+            }
+        }
+        let attempts_max = self.rule(job).attempts_max;
+        let lasting = self.jobs[job].step(unit).lasting;
+        let state = &mut self.jobs[job].units[unit];
+        if state.phase == UnitPhase::Active || state.members.len() == 1 {
+            state.failed += 1;
+            state.failed_on.push(name.clone());
+        }
+        let failed = state.failed;
+        if failed >= attempts_max && !lasting && state.phase != UnitPhase::Done {
+            self.set_phase(job, JobPhase::Failed);
+        }
+        self.stop_unit(job, unit);
+    }
+
+    fn take_running(&mut self, name: &ObjectName, reply: &RenewReply) {
+        let now_ms = self.now.steady_ms;
+        for running in &reply.running {
+            let key = (&running.task, running.run, name);
+            let Some((job, unit, member)) = self.ordered(key) else {
+                self.stop_stray(name, running);
+                continue;
+            };
+            let unit_state = &mut self.jobs[job].units[unit];
+            if !running.saved.is_empty() {
+                unit_state.saved = Arc::clone(&running.saved);
+            }
+            let state = &mut unit_state.members[member];
+            state.start_unsure = false;
+            state.confirmed_ms = state.confirmed_ms.max(reply.clock_ms);
+            if running.percent > state.percent || state.moved_ms == 0 {
+                state.percent = running.percent;
+                state.moved_ms = now_ms;
+            }
+            if state.phase == MemberPhase::Sent && !state.in_flight {
+                state.phase = MemberPhase::Running;
+                self.set_phase(job, JobPhase::Running);
+            }
+        }
+    }
+
+    /// Stops a run that nobody wants, such as one that started late.
+    fn stop_stray(&mut self, name: &ObjectName, running: &RunningTask) {
+        let target = self
+            .upstream_index(name)
+            .and_then(|index| self.upstreams[index].target(self.term));
+        if let Some(target) = target {
+            log::info!(
+                job = running.task.job.as_str(), task:% = running.task, run = running.run,
+                upstream = name.as_str(); "owner: a run that is not wanted is stopped."
+            );
+            self.ready.push(UpstreamOrder::Stop(StopOrder {
+                target,
+                task: running.task.clone(),
+                run: running.run,
+            }));
+        }
+    }
+
+    /// Finds runs that were there and are neither running nor among the ends.
+    fn take_missing(&mut self, name: &ObjectName, reply: &RenewReply) {
+        let Some(index) = self.upstream_index(name) else {
+            return;
+        };
+        for held in self.upstreams[index].held.clone() {
+            let Some(job) = self.job_index(&held.job) else {
+                continue;
+            };
+            let unit = &self.jobs[job].units[held.unit];
+            let state = &unit.members[held.member];
+            let stopping = unit.phase != UnitPhase::Active;
+            let known = state.phase == MemberPhase::Running || stopping;
+            let settled = known && !state.start_unsure && !state.in_flight;
+            if !settled || state.confirmed_ms == 0 || reply.clock_ms <= state.confirmed_ms {
+                continue;
+            }
+            let run = unit.run;
+            let task = self.jobs[job].task(held.unit, held.member);
+            let listed = reply
+                .running
+                .iter()
+                .any(|one| one.run == run && one.task == task);
+            let ended = reply.ended.iter().any(|one| one.run == run && one.task == task);
+            if !listed && !ended {
+                self.member_lost(job, held.unit, held.member, "not there");
+            }
+        }
+    }
+}
+
+impl StartOrder {
+    fn task_key(&self) -> (&crate::work::task_ref::TaskRef, u32, &ObjectName) {
+        (&self.task, self.run, &self.target.upstream)
+    }
+}
--- /dev/null
+++ b/src/work/owner/upstream_state.rs
@@ -0,0 +1,154 @@
+//! An upstream as the owner drives it.
+
+use std::net::SocketAddr;
+
+use crate::tables::name::ObjectName;
+use crate::work::amount::ResourceAmount;
+use crate::work::clock::ClockReading;
+use crate::work::upstream::{OrderTarget, UpstreamReport};
+
+/// Bits of a fencing token that count an upstream's lives within a term.
+const LIFE_BITS: u32 = 8;
+
+/// A task on an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeldTask {
+    /// The job.
+    pub job: ObjectName,
+    /// Unit of the job.
+    pub unit: usize,
+    /// Member of the unit.
+    pub member: usize,
+    /// What it holds.
+    pub need: ResourceAmount,
+}
+
+/// An upstream's state.
+#[derive(Clone, Debug)]
+pub struct UpstreamState {
+    /// Its name.
+    pub name: ObjectName,
+    /// Its newest report; none if it has left the list before this owner came.
+    pub report: Option<UpstreamReport>,
+    /// Whether it is on the list now.
+    pub listed: bool,
+    /// When it left the list, steady ms.
+    pub unlisted_ms: u64,
+    /// Where it takes orders; none if never known.
+    pub address: Option<SocketAddr>,
+    /// Its life; 0 if unknown.
+    pub born: u64,
+    /// Lives seen in this term.
+    pub lives: u64,
+    /// Its clock; none if never known.
+    pub clock: Option<ClockReading>,
+    /// When all leases given are surely over, steady ms.
+    pub lapsed_ms: u64,
+    /// Tasks that may be on it.
+    pub held: Vec<HeldTask>,
+    /// Sum of what they hold.
+    pub used: ResourceAmount,
+    /// Whether a renewal is on its way.
+    pub renewing: bool,
+    /// Earliest time of the next renewal, steady ms.
+    pub renew_ms: u64,
+    /// Renewals in a row that got no answer.
+    pub silent_count: u32,
+    /// Highest end seen.
+    pub seen_end: u64,
+    /// Highest end that is recorded.
+    pub recorded_end: u64,
+    /// Highest recorded end that the upstream was told.
+    pub told_end: u64,
+    /// Batch that records the ends seen; renewals wait for it.
+    pub end_batch: Option<u64>,
+    /// Whether this owner has had an answer from it.
+    pub looked: bool,
+    /// Runs that failed on it lately, less those that were done.
+    pub blame: f64,
+    /// No new work before this time, steady ms.
+    pub barred_ms: u64,
+    /// Room kept for a unit with a higher claim: until this time, steady ms.
+    pub reserved_ms: u64,
+}
+
+impl UpstreamState {
+    /// Creates the state of an upstream of which nothing is known.
+    pub fn new(name: ObjectName) -> Self {
+        Self {
+            name,
+            report: None,
+            listed: false,
+            unlisted_ms: 0,
+            address: None,
+            born: 0,
+            lives: 0,
+            clock: None,
+            lapsed_ms: 0,
+            held: Vec::new(),
+            used: ResourceAmount::default(),
+            renewing: false,
+            renew_ms: 0,
+            silent_count: 0,
+            seen_end: 0,
+            recorded_end: 0,
+            told_end: 0,
+            end_batch: None,
+            looked: false,
+            blame: 0.0,
+            barred_ms: 0,
+            reserved_ms: 0,
+        }
+    }
+
+    /// Returns where orders go and by which token.
+    pub fn target(&self, term: u64) -> Option<OrderTarget> {
+        Some(OrderTarget {
+            upstream: self.name.clone(),
+            address: self.address?,
+            token: (term << LIFE_BITS) + self.lives,
+        })
+    }
+
+    /// Returns whether new work may be placed on it.
+    pub fn is_open(&self, now_ms: u64) -> bool {
+        let draining = self.report.as_ref().is_none_or(|report| report.draining);
+        self.listed
+            && !draining
+            && self.silent_count == 0
+            && self.barred_ms <= now_ms
+            && self.clock.is_some()
+            && (self.looked || self.held.is_empty())
+    }
+
+    /// Returns what is free.
+    pub fn free(&self) -> ResourceAmount {
+        let capacity = self.report.as_ref().map(|report| report.capacity);
+        capacity.unwrap_or_default().minus(&self.used)
+    }
+
+    /// Adds a task.
+    pub fn hold(&mut self, task: HeldTask) {
+        self.used = self.used.plus(&task.need);
+        self.held.push(task);
+    }
+
+    /// Removes a task; returns whether it was there.
+    pub fn release(&mut self, job: &ObjectName, unit: usize, member: usize) -> bool {
+        let same =
+            |task: &HeldTask| task.job == *job && task.unit == unit && task.member == member;
+        match self.held.iter().position(same) {
+            Some(index) => {
+                let task = self.held.swap_remove(index);
+                self.used = self.used.minus(&task.need);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Returns whether the owner has to talk to it.
+    pub fn wants_renewal(&self) -> bool {
+        !self.held.is_empty() || self.recorded_end > self.told_end
+    }
+}
--- /dev/null
+++ b/src/work/owner_loop.rs
@@ -0,0 +1,513 @@
+//! Becoming the pool's owner, and the loop that an owner runs.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::{Report, ensure, eyre};
+use tokio::sync::Notify;
+
+use crate::tables::name::ObjectName;
+use crate::work::fact::{OwnerFact, RunFact, WorkFact, read_run_entry};
+use crate::work::follow::{StreamFollower, StreamSink};
+use crate::work::host_parts::{HostParts, host_time, steady_ms};
+use crate::work::owner::{PoolOwner, RowBatch, UpstreamOrder};
+use crate::work::ports::{OrderPort, RecordReader, StorePort};
+use crate::work::stream::{
+    KeyedValue, StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord, WriterStamp,
+};
+use crate::work::succession::next_term;
+
+/// The writer's name of all owners; its epochs shut out earlier ones.
+const OWNER_WRITER: &str = "owner";
+/// Key in the stream of runs by which a new owner shuts out the one before.
+const FENCE_KEY: &str = "owner";
+/// Time between two looks at whether an owner is wanted, in ms.
+const WATCH_MS: u64 = 50;
+/// Longest time between two rounds of the owner's loop, in ms.
+const ROUND_MS: u64 = 60;
+/// Time without another record after which the owner gives a sign of life, in ms.
+const SIGN_MS: u64 = 450;
+/// Pause before an append that got no answer is tried again, in ms.
+const APPEND_RETRY_MS: u64 = 50;
+/// Pause before a host whose try failed tries again, in ms.
+const CLAIM_RETRY_MS: u64 = 150;
+/// Pause between two reads of the upstreams' reports, in ms.
+const REPORTS_PAUSE_MS: u64 = 400;
+
+/// Tries to become the owner whenever one is wanted, and acts as one; for ever.
+pub async fn run_owner_loop<S: StorePort, O: OrderPort, R: RecordReader>(
+    parts: Rc<HostParts<S, O, R>>,
+) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(WATCH_MS)).await;
+        let due = parts.is_ready()
+            && parts
+                .watch
+                .borrow()
+                .is_due(parts.table.borrow().owner.as_ref());
+        if !due {
+            continue;
+        }
+        match claim(&parts).await {
+            Ok(term) => OwnerRun::new(&parts, term).run().await,
+            Err(error) => {
+                log::info!("owner: not taken over: {error}.");
+                tokio::time::sleep(Duration::from_millis(CLAIM_RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+/// Records the claim and shuts out the owner before; returns the term.
+async fn claim<S: StorePort, O: OrderPort, R: RecordReader>(
+    parts: &HostParts<S, O, R>,
+) -> Result<u64, Report> {
+    let failed = |failure: StoreFailure| eyre!("{failure}");
+    let before = parts.table.borrow().owner.clone();
+    parts.refresh_jobs().await.map_err(failed)?;
+    let current = parts.table.borrow().owner.clone();
+    ensure!(current == before, "the owner gave a sign of life");
+    let last = current.map_or(0, |row| row.fact.term);
+    let term = next_term(last, rand::random());
+    let fact = owner_fact(parts, term, false);
+    let call = StoreCall::Append {
+        stream: StreamName::Jobs,
+        entries: vec![KeyedValue::from(&WorkFact::Owner(fact))],
+        stamp: Some(stamp(term, 0)),
+        expected_end: Some(parts.position.get()),
+    };
+    let result = parts.call_store(&call).await;
+    parts.refresh_jobs().await.map_err(failed)?;
+    let owner = parts.table.borrow().owner.clone();
+    let mine = owner.is_some_and(|row| row.fact.term == term);
+    ensure!(mine, "another host was first: {result:?}");
+    let call = StoreCall::Append {
+        stream: StreamName::Runs,
+        entries: vec![KeyedValue {
+            key: FENCE_KEY.to_owned(),
+            value: term.to_be_bytes().to_vec(),
+        }],
+        stamp: Some(stamp(term, 0)),
+        expected_end: None,
+    };
+    parts.call_store(&call).await.map_err(failed)?;
+    let runs = list_runs(parts).await.map_err(failed)?;
+    let reports = list_all(parts, StreamName::Upstreams).await.map_err(failed)?;
+    install_owner(parts, term, &runs, &reports)?;
+    Ok(term)
+}
+
+fn owner_fact<S, O, R>(parts: &HostParts<S, O, R>, term: u64, released: bool) -> OwnerFact {
+    OwnerFact {
+        host: parts.identity.name.clone(),
+        term,
+        released,
+    }
+}
+
+fn stamp(term: u64, sequence: u64) -> WriterStamp {
+    WriterStamp {
+        writer: OWNER_WRITER.to_owned(),
+        epoch: term,
+        sequence,
+    }
+}
+
+async fn list_all<S: StorePort, O, R>(
+    parts: &HostParts<S, O, R>,
+    stream: StreamName,
+) -> Result<Vec<StreamRecord>, StoreFailure> {
+    let mut records = Vec::new();
+    let mut after = None;
+    loop {
+        let reply = parts.call_store(&StoreCall::Newest { stream, after }).await?;
+        records.extend(reply.records);
+        after = records.last().map(|last| last.entry.key.clone());
+        if !reply.more {
+            return Ok(records);
+        }
+    }
+}
+
+/// A job's tasks as recorded.
+struct StoredRun {
+    job: ObjectName,
+    fact: RunFact,
+}
+
+/// Returns the recorded tasks, sorted by job. The stream no longer changes but by us.
+async fn list_runs<S: StorePort, O, R>(
+    parts: &HostParts<S, O, R>,
+) -> Result<Vec<StoredRun>, StoreFailure> {
+    let mut runs = Vec::new();
+    for record in list_all(parts, StreamName::Runs).await? {
+        if record.entry.key == FENCE_KEY || record.entry.value.is_empty() {
+            continue;
+        }
+        match read_run_entry(&record.entry) {
+            Ok((job, fact)) => runs.push(StoredRun { job, fact }),
+            Err(error) => log::error!("owner: recorded tasks cannot be read: {error}."),
+        }
+    }
+    runs.sort_by(|left, right| left.job.cmp(&right.job));
+    Ok(runs)
+}
+
+fn install_owner<S: StorePort, O, R: RecordReader>(
+    parts: &HostParts<S, O, R>,
+    term: u64,
+    runs: &[StoredRun],
+    reports: &[StreamRecord],
+) -> Result<(), Report> {
+    let config = parts.board.current().ok_or_else(|| eyre!("no configuration"))?;
+    let mut owner = PoolOwner::new(term, parts.identity.timing, config, host_time());
+    for record in reports {
+        if let Some(report) = parts.reader.upstream(&record.entry) {
+            owner.on_report(report);
+        }
+    }
+    for job in &parts.table.borrow().jobs {
+        let Some(fact) = &job.fact else { continue };
+        let stored = runs.binary_search_by(|run| run.job.cmp(&job.id)).ok();
+        let stored = stored.map(|index| &runs[index].fact);
+        // A job that is over is kept while something of it may still run.
+        if !job.phase.is_over() || stored.is_some() {
+            owner.add_job(&job.id, Rc::clone(fact), job.phase, stored);
+        }
+        if job.cancelled {
+            owner.cancel(&job.id);
+        }
+    }
+    log::info!(
+        term, jobs = owner.jobs().len(), upstreams = owner.upstreams().len();
+        "owner: this host owns the pool."
+    );
+    *parts.owner.borrow_mut() = Some(owner);
+    Ok(())
+}
+
+/// Appends of the owner to one stream, in order.
+struct OwnerWriter {
+    stream: StreamName,
+    term: u64,
+    next: Cell<u64>,
+}
+
+impl OwnerWriter {
+    /// Appends until it is done, or until another owner is seen.
+    async fn append<S: StorePort, O, R>(
+        &self,
+        parts: &HostParts<S, O, R>,
+        entries: Vec<KeyedValue>,
+    ) -> Result<StoreReply, StoreFailure> {
+        let call = StoreCall::Append {
+            stream: self.stream,
+            entries,
+            stamp: Some(stamp(self.term, self.next.get())),
+            expected_end: None,
+        };
+        loop {
+            match parts.call_store(&call).await {
+                Err(failure) if failure.is_transient() => {
+                    log::debug!(failure:% = failure; "owner: rows are not recorded yet.");
+                    tokio::time::sleep(Duration::from_millis(APPEND_RETRY_MS)).await;
+                }
+                other => {
+                    self.next.set(self.next.get() + 1);
+                    return other;
+                }
+            }
+        }
+    }
+}
+
+/// One host's time as owner.
+struct OwnerRun<S, O, R> {
+    parts: Rc<HostParts<S, O, R>>,
+    term: u64,
+    ended: Rc<Cell<bool>>,
+    recording: Rc<Cell<bool>>,
+    /// When the last append that was accepted was sent, steady ms.
+    proved_ms: Rc<Cell<u64>>,
+    runs: Rc<OwnerWriter>,
+    jobs: Rc<OwnerWriter>,
+    job_rows: Rc<RefCell<VecDeque<KeyedValue>>>,
+    job_wake: Rc<Notify>,
+}
+
+impl<S, O, R> Clone for OwnerRun<S, O, R> {
+    fn clone(&self) -> Self {
+        Self {
+            parts: Rc::clone(&self.parts),
+            term: self.term,
+            ended: Rc::clone(&self.ended),
+            recording: Rc::clone(&self.recording),
+            proved_ms: Rc::clone(&self.proved_ms),
+            runs: Rc::clone(&self.runs),
+            jobs: Rc::clone(&self.jobs),
+            job_rows: Rc::clone(&self.job_rows),
+            job_wake: Rc::clone(&self.job_wake),
+        }
+    }
+}
+
+impl<S: StorePort, O: OrderPort, R: RecordReader> OwnerRun<S, O, R> {
+    fn new(parts: &Rc<HostParts<S, O, R>>, term: u64) -> Self {
+        let writer = |stream| {
+            Rc::new(OwnerWriter {
+                stream,
+                term,
+                // The claim was the first.
+                next: Cell::new(1),
+            })
+        };
+        Self {
+            parts: Rc::clone(parts),
+            term,
+            ended: Rc::default(),
+            recording: Rc::default(),
+            proved_ms: Rc::new(Cell::new(steady_ms())),
+            runs: writer(StreamName::Runs),
+            jobs: writer(StreamName::Jobs),
+            job_rows: Rc::default(),
+            job_wake: Rc::default(),
+        }
+    }
+
+    async fn run(self) {
+        let sink = ReportSink {
+            run: self.clone(),
+            listing: None,
+        };
+        let store = self.parts.store.clone();
+        tokio::task::spawn_local(StreamFollower::new(store, StreamName::Upstreams, sink).run());
+        tokio::task::spawn_local(self.clone().write_jobs());
+        while !self.ended.get() {
+            let pause = tokio::time::sleep(Duration::from_millis(ROUND_MS));
+            tokio::select! {
+                () = self.parts.wake.notified() => {}
+                () = pause => {}
+            }
+            self.round();
+        }
+        self.job_wake.notify_one();
+        *self.parts.owner.borrow_mut() = None;
+    }
+
+    /// Does what is due, unless another host has taken over.
+    fn round(&self) {
+        let replaced = {
+            let table = self.parts.table.borrow();
+            table.owner.as_ref().is_some_and(|row| row.fact.term > self.term)
+        };
+        let authority_ms = self.parts.identity.timing.authority_ms;
+        let unproved = steady_ms().saturating_sub(self.proved_ms.get()) > authority_ms;
+        if replaced || unproved {
+            self.end(match replaced {
+                true => "another host has taken over",
+                false => "the store has not been reached for too long",
+            });
+            return;
+        }
+        if self.parts.draining.get() {
+            self.release();
+            return;
+        }
+        let orders = self.with_owner(|owner| {
+            owner.tick(host_time());
+            (owner.take_orders(), owner.is_deposed())
+        });
+        let Some((orders, deposed)) = orders else {
+            return;
+        };
+        for order in orders {
+            tokio::task::spawn_local(self.clone().carry_out(order));
+        }
+        if deposed {
+            self.end("an upstream obeys another host");
+            return;
+        }
+        self.record();
+    }
+
+    fn with_owner<T>(&self, act: impl FnOnce(&mut PoolOwner) -> T) -> Option<T> {
+        let mut owner = self.parts.owner.borrow_mut();
+        let owner = owner.as_mut().filter(|owner| owner.term() == self.term)?;
+        Some(act(owner))
+    }
+
+    fn end(&self, reason: &str) {
+        log::warn!(term = self.term; "owner: this host no longer owns the pool: {reason}.");
+        self.ended.set(true);
+        self.parts.wake.notify_one();
+    }
+
+    /// Gives the pool up, once what is being recorded is recorded.
+    fn release(&self) {
+        if self.recording.get() {
+            return;
+        }
+        let fact = owner_fact(&self.parts, self.term, true);
+        self.queue_jobs([KeyedValue::from(&WorkFact::Owner(fact))]);
+        self.end("it shuts down");
+    }
+
+    fn queue_jobs(&self, rows: impl IntoIterator<Item = KeyedValue>) {
+        self.job_rows.borrow_mut().extend(rows);
+        self.job_wake.notify_one();
+    }
+
+    /// Starts to record the next batch, one at a time.
+    fn record(&self) {
+        if self.recording.get() {
+            return;
+        }
+        if let Some(batch) = self.with_owner(PoolOwner::take_batch).flatten() {
+            self.recording.set(true);
+            tokio::task::spawn_local(self.clone().record_batch(batch));
+        }
+    }
+
+    async fn record_batch(self, batch: RowBatch) {
+        if !batch.runs.is_empty() {
+            let sent_ms = steady_ms();
+            if let Err(failure) = self.runs.append(&self.parts, batch.runs).await {
+                self.end(&failure.to_string());
+                return;
+            }
+            self.proved_ms.set(sent_ms.max(self.proved_ms.get()));
+        }
+        let _ = self.with_owner(|owner| {
+            owner.set_time(host_time());
+            owner.on_durable(batch.number);
+        });
+        self.recording.set(false);
+        self.queue_jobs(batch.jobs);
+        self.parts.wake.notify_one();
+    }
+
+    /// Writes phases and signs of life until the run ends and all is written.
+    async fn write_jobs(self) {
+        loop {
+            let rows: Vec<KeyedValue> = self.job_rows.borrow_mut().drain(..).collect();
+            if rows.is_empty() && self.ended.get() {
+                return;
+            }
+            if rows.is_empty() {
+                let pause = tokio::time::sleep(Duration::from_millis(SIGN_MS));
+                tokio::select! {
+                    () = self.job_wake.notified() => continue,
+                    () = pause => {}
+                }
+            }
+            let sent_ms = steady_ms();
+            let rows = match rows.is_empty() {
+                true => {
+                    let fact = owner_fact(&self.parts, self.term, false);
+                    vec![KeyedValue::from(&WorkFact::Owner(fact))]
+                }
+                false => rows,
+            };
+            match self.jobs.append(&self.parts, rows).await {
+                Ok(_) => self.proved_ms.set(sent_ms.max(self.proved_ms.get())),
+                Err(failure) => {
+                    self.end(&failure.to_string());
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn carry_out(self, order: UpstreamOrder) {
+        match order {
+            UpstreamOrder::Start(order) => {
+                let outcome = self.parts.orders.start(&order).await;
+                self.report(|owner| owner.on_started(&order, outcome));
+            }
+            UpstreamOrder::Stop(order) => {
+                let result = self.parts.orders.stop(&order).await;
+                self.report(|owner| owner.on_stopped(&order, result));
+            }
+            UpstreamOrder::Renew(order) => {
+                let result = self.parts.orders.renew(&order).await;
+                self.report(|owner| owner.on_renewed(&order.target.upstream, result));
+            }
+        }
+    }
+
+    fn report(&self, act: impl FnOnce(&mut PoolOwner)) {
+        let told = self.with_owner(|owner| {
+            owner.set_time(host_time());
+            act(owner);
+        });
+        if told.is_some() {
+            self.parts.wake.notify_one();
+        }
+    }
+}
+
+/// Takes the upstreams' reports for the owner.
+struct ReportSink<S, O, R> {
+    run: OwnerRun<S, O, R>,
+    /// Names in the listing under way.
+    listing: Option<Vec<ObjectName>>,
+}
+
+impl<S: StorePort, O: OrderPort, R: RecordReader> ReportSink<S, O, R> {
+    fn take_one(&mut self, record: &StreamRecord) {
+        let parts = Rc::clone(&self.run.parts);
+        if record.entry.value.is_empty() {
+            if let Ok(name) = ObjectName::try_from(record.entry.key.as_str()) {
+                self.run.report(|owner| owner.on_unlisted(&name));
+            }
+            return;
+        }
+        let Some(report) = parts.reader.upstream(&record.entry) else {
+            log::debug!(key = record.entry.key.as_str(); "owner: a report cannot be used.");
+            return;
+        };
+        if let Some(listing) = &mut self.listing {
+            listing.push(report.name.clone());
+        }
+        let _ = self.run.with_owner(|owner| {
+            owner.set_time(host_time());
+            owner.on_report(report);
+        });
+    }
+}
+
+impl<S: StorePort, O: OrderPort, R: RecordReader> StreamSink for ReportSink<S, O, R> {
+    fn begin_listing(&mut self) {
+        self.listing = Some(Vec::new());
+    }
+
+    fn take(&mut self, records: &[StreamRecord]) {
+        for record in records {
+            self.take_one(record);
+        }
+    }
+
+    fn end_listing(&mut self) {
+        let mut named = self.listing.take().unwrap_or_default();
+        named.sort_unstable();
+        self.run.report(|owner| {
+            for name in owner.listed() {
+                if named.binary_search(&name).is_err() {
+                    owner.on_unlisted(&name);
+                }
+            }
+        });
+    }
+
+    fn answered(&mut self, _asked_ms: u64, _next: u64) {}
+
+    fn pause_ms(&self) -> u64 {
+        REPORTS_PAUSE_MS
+    }
+
+    fn is_closed(&self) -> bool {
+        self.run.ended.get()
+    }
+}
--- /dev/null
+++ b/src/work/relay.rs
@@ -0,0 +1,127 @@
+//! The store by whatever way works: directly, or through a peer.
+//!
+//! Answers this pattern: the store turns some hosts away, or is cut off from them, while it
+//! serves the others. Reads and stamped appends may be tried twice; so may facts, which are
+//! the same however often they stand in the stream.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use crate::work::host_parts::steady_ms;
+use crate::work::peers::PeerRing;
+use crate::work::ports::StorePort;
+use crate::work::stream::{StoreCall, StoreFailure, StoreReply};
+
+/// How long the direct way is left alone after it failed, in ms.
+const DIRECT_REST_MS: u64 = 800;
+/// Peers asked for one call.
+const PEERS_PER_CALL: usize = 2;
+/// Time for a peer to answer, on top of the call's own wait, in ms.
+const PEER_LIMIT_MS: u64 = 600;
+/// Failed direct calls in a row after which a peer is asked first.
+const DIRECT_FAILURES_MAX: u32 = 2;
+
+/// A store with peers to fall back on. Cloning shares what it has learned.
+#[derive(Clone)]
+pub struct RelayStore<S> {
+    direct: S,
+    peers: Rc<PeerRing>,
+    failures: Rc<Cell<u32>>,
+    rest_until_ms: Rc<Cell<u64>>,
+}
+
+impl<S: StorePort> RelayStore<S> {
+    /// Creates it over the direct way.
+    pub fn new(direct: S, peers: Rc<PeerRing>) -> Self {
+        Self {
+            direct,
+            peers,
+            failures: Rc::default(),
+            rest_until_ms: Rc::default(),
+        }
+    }
+
+    /// Returns the direct way.
+    pub fn direct(&self) -> &S {
+        &self.direct
+    }
+
+    /// Returns whether the direct way has failed lately.
+    pub fn is_turned_away(&self) -> bool {
+        self.failures.get() >= DIRECT_FAILURES_MAX && steady_ms() < self.rest_until_ms.get()
+    }
+
+    async fn call_direct(
+        &self,
+        call: &StoreCall,
+        limit: Duration,
+    ) -> Result<StoreReply, StoreFailure> {
+        let result = self.direct.call(call, limit).await;
+        let failed = result.as_ref().is_err_and(StoreFailure::is_transient);
+        if !failed {
+            if self.failures.replace(0) >= DIRECT_FAILURES_MAX {
+                log::info!("store: reached directly again.");
+            }
+            return result;
+        }
+        let failures = self.failures.get() + 1;
+        self.failures.set(failures);
+        self.rest_until_ms.set(steady_ms() + DIRECT_REST_MS);
+        if failures == DIRECT_FAILURES_MAX
+            && let Err(failure) = &result
+        {
+            log::warn!(failure:% = failure; "store: not reached directly; peers are asked.");
+        }
+        result
+    }
+
+    async fn call_peers(&self, call: &StoreCall) -> Result<StoreReply, StoreFailure> {
+        let mut last = StoreFailure::NotDone("no peer is known".to_owned());
+        let limit = Duration::from_millis(PEER_LIMIT_MS + call.wait_ms());
+        for peer in self.peers.next_links(PEERS_PER_CALL) {
+            let result = match timeout(limit, peer.call_store(call)).await {
+                Ok(result) => result,
+                Err(_) => Err(StoreFailure::Unknown("a peer gave no answer".to_owned())),
+            };
+            match result {
+                Err(failure) if failure.is_transient() => {
+                    self.peers.blame(&peer);
+                    last = worse(last, failure);
+                }
+                other => return other,
+            }
+        }
+        Err(last)
+    }
+}
+
+/// Keeps the failure after which less is certain.
+fn worse(left: StoreFailure, right: StoreFailure) -> StoreFailure {
+    match left {
+        StoreFailure::Unknown(_) => left,
+        _ => right,
+    }
+}
+
+impl<S: StorePort> StorePort for RelayStore<S> {
+    async fn call(&self, call: &StoreCall, limit: Duration) -> Result<StoreReply, StoreFailure> {
+        let mut before = StoreFailure::NotDone("not tried directly".to_owned());
+        if !self.is_turned_away() {
+            match self.call_direct(call, limit).await {
+                Err(failure) if failure.is_transient() => before = failure,
+                other => return other,
+            }
+        }
+        match self.call_peers(call).await {
+            Err(failure) if failure.is_transient() => Err(worse(before, failure)),
+            // The stream may have moved on by the call itself.
+            Err(StoreFailure::Conflict) if matches!(before, StoreFailure::Unknown(_)) => {
+                Err(before)
+            }
+            other => other,
+        }
+    }
+}
--- /dev/null
+++ b/src/work/succession.rs
@@ -0,0 +1,74 @@
+//! When a host tries to become the pool's owner.
+//!
+//! Answers this pattern: the owner dies or is cut off while tasks hold short leases; the
+//! leases must be renewed before they are over, and a slow store must not depose an owner.
+
+use crate::tables::name::ObjectName;
+use crate::work::fact_table::OwnerRow;
+
+/// Silence of the owner, while the store answers, after which others try, in ms.
+const OWNER_SILENT_MS: u64 = 1_400;
+/// Longest extra wait by which hosts avoid trying at once, in ms.
+const SPREAD_MS: u64 = 500;
+/// Extra wait where nobody owns the pool, in ms.
+const VACANT_SPREAD_MS: u64 = 120;
+/// Longest time between two answers of the store that still counts as answering, in ms.
+const ANSWER_GAP_MS: u64 = 1_200;
+/// Bits of a term that tell rivals for it apart.
+const TERM_NONCE_BITS: u32 = 16;
+
+/// Watches the owner's signs of life.
+#[derive(Clone, Debug)]
+pub struct SuccessionWatch {
+    host: ObjectName,
+    /// This host's place in the order of trying, 0 to 1.
+    rank: f64,
+    silent_ms: u64,
+    answered_ms: Option<u64>,
+}
+
+impl SuccessionWatch {
+    /// Creates the watch of a host; `rank` is 0 for those that should try first, 1 last.
+    pub fn new(host: ObjectName, rank: f64) -> Self {
+        Self {
+            host,
+            rank: rank.clamp(0.0, 1.0),
+            silent_ms: 0,
+            answered_ms: None,
+        }
+    }
+
+    /// Notes a sign of life of the owner.
+    pub fn owner_heard(&mut self) {
+        self.silent_ms = 0;
+    }
+
+    /// Notes that the store answered; only such time counts as silence.
+    pub fn store_answered(&mut self, now_ms: u64) {
+        let passed = self
+            .answered_ms
+            .map_or(0, |before| now_ms.saturating_sub(before));
+        if passed <= ANSWER_GAP_MS {
+            self.silent_ms += passed;
+        }
+        self.answered_ms = Some(now_ms);
+    }
+
+    /// Returns whether this host should try now.
+    pub fn is_due(&self, owner: Option<&OwnerRow>) -> bool {
+        if self.answered_ms.is_none() {
+            return false;
+        }
+        let vacant = owner.is_none_or(|row| row.fact.released || row.fact.host == self.host);
+        let (silent, spread) = match vacant {
+            true => (0, VACANT_SPREAD_MS),
+            false => (OWNER_SILENT_MS, SPREAD_MS),
+        };
+        self.silent_ms >= silent + (self.rank * spread as f64) as u64
+    }
+}
+
+/// Returns the term after `last`; `nonce` keeps two rivals from choosing the same.
+pub fn next_term(last: u64, nonce: u16) -> u64 {
+    ((last >> TERM_NONCE_BITS) + 1) << TERM_NONCE_BITS | u64::from(nonce)
+}
--- /dev/null
+++ b/src/work/task_ref.rs
@@ -0,0 +1,51 @@
+//! Names a task of a job.
+
+use std::fmt;
+
+use eyre::{Report, eyre};
+use serde::{Deserialize, Serialize};
+
+use crate::tables::name::ObjectName;
+
+/// A task: job, round of its schedule, step and index in the step.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TaskRef {
+    /// The job.
+    pub job: ObjectName,
+    /// Round of a job that repeats; 0 otherwise.
+    pub round: u32,
+    /// Step, counted from 0.
+    pub step: u32,
+    /// Index in the step, counted from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskRef {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{}.{}.{}.{}",
+            self.job, self.round, self.step, self.index
+        )
+    }
+}
+
+impl TryFrom<&str> for TaskRef {
+    type Error = Report;
+
+    fn try_from(text: &str) -> Result<Self, Report> {
+        let bad = || eyre!("{text:?} names no task");
+        let mut parts = text.rsplitn(4, '.');
+        let mut number = || parts.next().and_then(|part| part.parse().ok());
+        let index = number().ok_or_else(bad)?;
+        let step = number().ok_or_else(bad)?;
+        let round = number().ok_or_else(bad)?;
+        let job = ObjectName::try_from(parts.next().ok_or_else(bad)?)?;
+        Ok(Self {
+            job,
+            round,
+            step,
+            index,
+        })
+    }
+}
