Drop a job's runs only once its end is recorded; count phases as signs of life

The rows of a finished job's runs were dropped before its last phase stood in the stream of jobs; an owner deposed in between left the job queued with no runs.

--- a/src/daemons/log_writer.rs
+++ b/src/daemons/log_writer.rs
@@ -22,8 +22,8 @@
 impl LogWriter {
     /// Creates the writer; standard output no longer blocks from here on.
     pub fn open() -> Self {
-        let set = fcntl_getfl(stdout())
-            .and_then(|flags| fcntl_setfl(stdout(), flags | OFlags::NONBLOCK));
+        let set =
+            fcntl_getfl(stdout()).and_then(|flags| fcntl_setfl(stdout(), flags | OFlags::NONBLOCK));
         if let Err(error) = set {
             eprintln!("log: standard output may block: {error}");
         }
--- a/src/work/fact_table.rs
+++ b/src/work/fact_table.rs
@@ -107,10 +107,14 @@
                 if !job.phase.is_over() {
                     job.phase = phase;
                 }
-                TableChange::Other
+                // Only an owner writes phases.
+                TableChange::Owner
             }
             WorkFact::Owner(fact) => {
-                self.owner = Some(OwnerRow { fact, offset });
+                let newer = self.owner.as_ref().is_none_or(|row| row.offset < offset);
+                if newer {
+                    self.owner = Some(OwnerRow { fact, offset });
+                }
                 TableChange::Owner
             }
             WorkFact::Host(name, fact) => {
--- a/src/work/host_parts.rs
+++ b/src/work/host_parts.rs
@@ -79,7 +79,13 @@
 
 impl<S: StorePort, O, R> HostParts<S, O, R> {
     /// Creates the parts of a host that knows nothing yet.
-    pub fn new(identity: HostIdentity, store: S, orders: O, reader: R, peers: Rc<PeerRing>) -> Self {
+    pub fn new(
+        identity: HostIdentity,
+        store: S,
+        orders: O,
+        reader: R,
+        peers: Rc<PeerRing>,
+    ) -> Self {
         let watch = SuccessionWatch::new(identity.name.clone(), identity.rank);
         Self {
             identity,
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -60,6 +60,8 @@
     pub runs: Vec<KeyedValue>,
     /// For the stream of jobs, after the runs.
     pub jobs: Vec<KeyedValue>,
+    /// Jobs that are over; their rows of runs may go once `jobs` is in the store.
+    pub finished: Vec<ObjectName>,
 }
 
 struct GatedOrder {
@@ -79,6 +81,7 @@
     batch: u64,
     durable: u64,
     phases: Vec<(ObjectName, JobPhase)>,
+    finished: Vec<ObjectName>,
     dropped: Vec<ObjectName>,
     now: HostTime,
     plan_due: bool,
@@ -104,6 +107,7 @@
             batch: 1,
             durable: 0,
             phases: Vec::new(),
+            finished: Vec::new(),
             dropped: Vec::new(),
             now,
             plan_due: true,
@@ -160,10 +164,20 @@
             job.restore(stored);
             self.adopt(&job);
         }
+        let over = job.phase.is_over();
         self.jobs.insert(index, job);
+        if over {
+            self.stop_job(index);
+        }
         self.plan_due = true;
     }
 
+    fn stop_job(&mut self, job: usize) {
+        for unit in 0..self.jobs[job].units.len() {
+            self.stop_unit(job, unit);
+        }
+    }
+
     /// Counts what a job has on upstreams already.
     fn adopt(&mut self, job: &JobState) {
         for (unit, state) in job.units.iter().enumerate() {
@@ -341,9 +355,7 @@
             "owner: a job has reached a phase."
         );
         if phase.is_over() {
-            for unit in 0..self.jobs[job].units.len() {
-                self.stop_unit(job, unit);
-            }
+            self.stop_job(job);
         }
     }
 
@@ -371,7 +383,7 @@
         }
         let finished = |job: &JobState| job.phase.is_over() && job.is_clear();
         for job in self.jobs.iter().filter(|job| finished(job)) {
-            self.dropped.push(job.id.clone());
+            self.finished.push(job.id.clone());
         }
         self.jobs.retain(|job| !finished(job));
     }
@@ -390,14 +402,18 @@
             batch.runs.push(run_entry(&job, None));
         }
         for (job, phase) in self.phases.drain(..) {
-            batch.jobs.push(KeyedValue::from(&WorkFact::Phase(job, phase)));
+            batch
+                .jobs
+                .push(KeyedValue::from(&WorkFact::Phase(job, phase)));
         }
+        batch.finished.append(&mut self.finished);
         let waits = self.gated.iter().any(|gated| gated.batch == self.batch)
             || self
                 .upstreams
                 .iter()
                 .any(|upstream| upstream.end_batch == Some(self.batch));
-        if batch.runs.is_empty() && batch.jobs.is_empty() && !waits {
+        let empty = batch.runs.is_empty() && batch.jobs.is_empty() && batch.finished.is_empty();
+        if empty && !waits {
             return None;
         }
         self.batch += 1;
@@ -419,6 +435,11 @@
         }
     }
 
+    /// Drops the rows of jobs whose last phase is in the store.
+    pub fn drop_rows(&mut self, finished: Vec<ObjectName>) {
+        self.dropped.extend(finished);
+    }
+
     /// Returns the orders that may go out now.
     pub fn take_orders(&mut self) -> Vec<UpstreamOrder> {
         std::mem::take(&mut self.ready)
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -74,7 +74,10 @@
         let state = &self.jobs[job];
         let rule = self.rule(job);
         let spec = &state.fact.spec;
-        let begun_ms = state.fact.accepted_ms.max(spec.due_ms(state.shapes[unit].round));
+        let begun_ms = state
+            .fact
+            .accepted_ms
+            .max(spec.due_ms(state.shapes[unit].round));
         let allowed_ms = rule.allowed_ms(spec.chain_ms());
         let due_ms = begun_ms + allowed_ms.saturating_sub(spec.chain_ms());
         WaitingUnit {
@@ -82,7 +85,10 @@
             guaranteed: rule.priority == 0 && self.is_guaranteed(job),
             slack_ms: due_ms as i64 - self.now.wall_ms as i64,
             work: spec.work(),
-            waited_ms: self.now.steady_ms.saturating_sub(state.units[unit].since_ms),
+            waited_ms: self
+                .now
+                .steady_ms
+                .saturating_sub(state.units[unit].since_ms),
             begun: state.units.iter().any(|unit| unit.run > 0),
         }
     }
@@ -145,7 +151,10 @@
         let state = &self.jobs[job];
         let step = state.step(unit);
         let shape = state.shapes[unit];
-        let waited_ms = self.now.steady_ms.saturating_sub(state.units[unit].since_ms);
+        let waited_ms = self
+            .now
+            .steady_ms
+            .saturating_sub(state.units[unit].since_ms);
         let patient = waited_ms < NEAR_WAIT_MS;
         let mut demand = UnitDemand {
             count: shape.count as usize,
--- a/src/work/owner/renewals.rs
+++ b/src/work/owner/renewals.rs
@@ -49,9 +49,7 @@
         let now_ms = self.now.steady_ms;
         for index in 0..self.upstreams.len() {
             let upstream = &mut self.upstreams[index];
-            let due = upstream.wants_renewal()
-                && !upstream.renewing
-                && upstream.renew_ms <= now_ms;
+            let due = upstream.wants_renewal() && !upstream.renewing && upstream.renew_ms <= now_ms;
             if !due {
                 continue;
             }
@@ -71,8 +69,7 @@
                 .map(|clock| clock.at_least(now_ms) + self.timing.lease_ms);
             upstream.renewing = true;
             upstream.told_end = upstream.recorded_end;
-            let lapsed_ms =
-                now_ms + surely_passed_ms(self.timing.lease_ms) + LAPSE_MARGIN_MS;
+            let lapsed_ms = now_ms + surely_passed_ms(self.timing.lease_ms) + LAPSE_MARGIN_MS;
             upstream.lapsed_ms = upstream.lapsed_ms.max(lapsed_ms);
             self.ready.push(UpstreamOrder::Renew(RenewOrder {
                 target,
--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -120,11 +120,7 @@
 
     fn ordered(
         &self,
-        (task, run, upstream): (
-            &crate::work::task_ref::TaskRef,
-            u32,
-            &ObjectName,
-        ),
+        (task, run, upstream): (&crate::work::task_ref::TaskRef, u32, &ObjectName),
     ) -> Option<(usize, usize, usize)> {
         let job = self.job_index(&task.job)?;
         let (unit, member) = self.jobs[job].locate(task)?;
@@ -352,7 +348,10 @@
                 .running
                 .iter()
                 .any(|one| one.run == run && one.task == task);
-            let ended = reply.ended.iter().any(|one| one.run == run && one.task == task);
+            let ended = reply
+                .ended
+                .iter()
+                .any(|one| one.run == run && one.task == task);
             if !listed && !ended {
                 self.member_lost(job, held.unit, held.member, "not there");
             }
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -135,8 +135,7 @@
 
     /// Removes a task; returns whether it was there.
     pub fn release(&mut self, job: &ObjectName, unit: usize, member: usize) -> bool {
-        let same =
-            |task: &HeldTask| task.job == *job && task.unit == unit && task.member == member;
+        let same = |task: &HeldTask| task.job == *job && task.unit == unit && task.member == member;
         match self.held.iter().position(same) {
             Some(index) => {
                 let task = self.held.swap_remove(index);
--- a/src/work/owner_loop.rs
+++ b/src/work/owner_loop.rs
@@ -1,7 +1,6 @@
 //! Becoming the pool's owner, and the loop that an owner runs.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -94,7 +93,9 @@
     };
     parts.call_store(&call).await.map_err(failed)?;
     let runs = list_runs(parts).await.map_err(failed)?;
-    let reports = list_all(parts, StreamName::Upstreams).await.map_err(failed)?;
+    let reports = list_all(parts, StreamName::Upstreams)
+        .await
+        .map_err(failed)?;
     install_owner(parts, term, &runs, &reports)?;
     Ok(term)
 }
@@ -122,7 +123,9 @@
     let mut records = Vec::new();
     let mut after = None;
     loop {
-        let reply = parts.call_store(&StoreCall::Newest { stream, after }).await?;
+        let reply = parts
+            .call_store(&StoreCall::Newest { stream, after })
+            .await?;
         records.extend(reply.records);
         after = records.last().map(|last| last.entry.key.clone());
         if !reply.more {
@@ -161,7 +164,10 @@
     runs: &[StoredRun],
     reports: &[StreamRecord],
 ) -> Result<(), Report> {
-    let config = parts.board.current().ok_or_else(|| eyre!("no configuration"))?;
+    let config = parts
+        .board
+        .current()
+        .ok_or_else(|| eyre!("no configuration"))?;
     let mut owner = PoolOwner::new(term, parts.identity.timing, config, host_time());
     for record in reports {
         if let Some(report) = parts.reader.upstream(&record.entry) {
@@ -223,6 +229,19 @@
     }
 }
 
+/// Rows for the stream of jobs, and jobs whose rows of runs may go after them.
+#[derive(Debug, Default)]
+struct JobRows {
+    rows: Vec<KeyedValue>,
+    finished: Vec<ObjectName>,
+}
+
+impl JobRows {
+    fn is_empty(&self) -> bool {
+        self.rows.is_empty() && self.finished.is_empty()
+    }
+}
+
 /// One host's time as owner.
 struct OwnerRun<S, O, R> {
     parts: Rc<HostParts<S, O, R>>,
@@ -233,7 +252,7 @@
     proved_ms: Rc<Cell<u64>>,
     runs: Rc<OwnerWriter>,
     jobs: Rc<OwnerWriter>,
-    job_rows: Rc<RefCell<VecDeque<KeyedValue>>>,
+    job_rows: Rc<RefCell<JobRows>>,
     job_wake: Rc<Notify>,
 }
 
@@ -300,7 +319,10 @@
     fn round(&self) {
         let replaced = {
             let table = self.parts.table.borrow();
-            table.owner.as_ref().is_some_and(|row| row.fact.term > self.term)
+            table
+                .owner
+                .as_ref()
+                .is_some_and(|row| row.fact.term > self.term)
         };
         let authority_ms = self.parts.identity.timing.authority_ms;
         let unproved = steady_ms().saturating_sub(self.proved_ms.get()) > authority_ms;
@@ -350,13 +372,20 @@
             return;
         }
         let fact = owner_fact(&self.parts, self.term, true);
-        self.queue_jobs([KeyedValue::from(&WorkFact::Owner(fact))]);
+        self.queue_jobs(JobRows {
+            rows: vec![KeyedValue::from(&WorkFact::Owner(fact))],
+            finished: Vec::new(),
+        });
         self.end("it shuts down");
     }
 
-    fn queue_jobs(&self, rows: impl IntoIterator<Item = KeyedValue>) {
-        self.job_rows.borrow_mut().extend(rows);
-        self.job_wake.notify_one();
+    fn queue_jobs(&self, more: JobRows) {
+        let mut queue = self.job_rows.borrow_mut();
+        queue.rows.extend(more.rows);
+        queue.finished.extend(more.finished);
+        if !queue.is_empty() {
+            self.job_wake.notify_one();
+        }
     }
 
     /// Starts to record the next batch, one at a time.
@@ -384,39 +413,40 @@
             owner.on_durable(batch.number);
         });
         self.recording.set(false);
-        self.queue_jobs(batch.jobs);
+        self.queue_jobs(JobRows {
+            rows: batch.jobs,
+            finished: batch.finished,
+        });
         self.parts.wake.notify_one();
     }
 
     /// Writes phases and signs of life until the run ends and all is written.
     async fn write_jobs(self) {
         loop {
-            let rows: Vec<KeyedValue> = self.job_rows.borrow_mut().drain(..).collect();
-            if rows.is_empty() && self.ended.get() {
+            let mut queued = std::mem::take(&mut *self.job_rows.borrow_mut());
+            if queued.is_empty() && self.ended.get() {
                 return;
             }
-            if rows.is_empty() {
+            if queued.is_empty() {
                 let pause = tokio::time::sleep(Duration::from_millis(SIGN_MS));
                 tokio::select! {
                     () = self.job_wake.notified() => continue,
                     () = pause => {}
                 }
             }
+            if queued.rows.is_empty() {
+                let fact = owner_fact(&self.parts, self.term, false);
+                queued.rows.push(KeyedValue::from(&WorkFact::Owner(fact)));
+            }
             let sent_ms = steady_ms();
-            let rows = match rows.is_empty() {
-                true => {
-                    let fact = owner_fact(&self.parts, self.term, false);
-                    vec![KeyedValue::from(&WorkFact::Owner(fact))]
-                }
-                false => rows,
-            };
-            match self.jobs.append(&self.parts, rows).await {
+            match self.jobs.append(&self.parts, queued.rows).await {
                 Ok(_) => self.proved_ms.set(sent_ms.max(self.proved_ms.get())),
                 Err(failure) => {
                     self.end(&failure.to_string());
                     return;
                 }
             }
+            let _ = self.with_owner(|owner| owner.drop_rows(queued.finished));
         }
     }
 
--- a/src/work/place.rs
+++ b/src/work/place.rs
@@ -54,7 +54,9 @@
 /// indexes into `open`.
 pub fn place_unit(demand: &UnitDemand, open: &[OpenUpstream]) -> Option<Vec<usize>> {
     if let Some(rack) = &demand.data_rack {
-        let there = fill(demand, open, |upstream| upstream.rack.as_ref() == Some(rack));
+        let there = fill(demand, open, |upstream| {
+            upstream.rack.as_ref() == Some(rack)
+        });
         if there.is_some() || !demand.any_rack {
             return there;
         }
@@ -85,7 +87,9 @@
         .collect();
     fitting.sort();
     fitting.into_iter().find_map(|(_, rack)| {
-        fill(demand, open, |upstream| upstream.rack.as_ref() == Some(rack))
+        fill(demand, open, |upstream| {
+            upstream.rack.as_ref() == Some(rack)
+        })
     })
 }
 
@@ -135,6 +139,9 @@
     if demand.spread_max == 0 {
         return room;
     }
-    let here = demand.siblings.iter().filter(|name| **name == upstream.name);
+    let here = demand
+        .siblings
+        .iter()
+        .filter(|name| **name == upstream.name);
     room.min(demand.spread_max.saturating_sub(here.count()))
 }
--- a/src/work/spec.rs
+++ b/src/work/spec.rs
@@ -93,7 +93,10 @@
     pub fn chain_ms(&self) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
-            let before = step.after.iter().filter_map(|&index| ends.get(index as usize));
+            let before = step
+                .after
+                .iter()
+                .filter_map(|&index| ends.get(index as usize));
             ends.push(before.max().copied().unwrap_or(0) + step.estimate_ms);
         }
         ends.into_iter().max().unwrap_or(0)
