Record a finished job's last ends before they are acknowledged; let silent leases run out

Cause 1 (TWICE after a change of owner): a job that was over left the owner's table before its last row of runs was collected, so its ends were acknowledged while the store still showed its tasks placed. The next owner was told 'old' by the upstreams and ran them again. A new owner now also concludes a job whose last phase is missing. Cause 2 (LOST after scale_in): each look at a silent upstream carried a lease and so put off the time at which its tasks count as lost, for ever.

--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -82,6 +82,7 @@
     durable: u64,
     phases: Vec<(ObjectName, JobPhase)>,
     finished: Vec<ObjectName>,
+    last_rows: Vec<KeyedValue>,
     dropped: Vec<ObjectName>,
     now: HostTime,
     plan_due: bool,
@@ -108,6 +109,7 @@
             durable: 0,
             phases: Vec::new(),
             finished: Vec::new(),
+            last_rows: Vec::new(),
             dropped: Vec::new(),
             now,
             plan_due: true,
@@ -168,10 +170,27 @@
         self.jobs.insert(index, job);
         if over {
             self.stop_job(index);
+        } else {
+            self.conclude(index);
         }
         self.plan_due = true;
     }
 
+    /// Sets the last phase of a job whose owner recorded its last end and then no more.
+    fn conclude(&mut self, job: usize) {
+        let attempts_max = self.rule(job).attempts_max;
+        let state = &self.jobs[job];
+        let failed = (0..state.units.len()).any(|unit| {
+            let lasting = state.step(unit).lasting;
+            !lasting && state.units[unit].failed >= attempts_max
+        });
+        if state.is_done() {
+            self.set_phase(job, JobPhase::Completed);
+        } else if failed {
+            self.set_phase(job, JobPhase::Failed);
+        }
+    }
+
     fn stop_job(&mut self, job: usize) {
         for unit in 0..self.jobs[job].units.len() {
             self.stop_unit(job, unit);
@@ -384,6 +403,11 @@
         let finished = |job: &JobState| job.phase.is_over() && job.is_clear();
         for job in self.jobs.iter().filter(|job| finished(job)) {
             self.finished.push(job.id.clone());
+            // Its last ends are acknowledged with this batch, before its phase is recorded.
+            if job.dirty {
+                self.last_rows
+                    .push(run_entry(&job.id, Some(&job.run_fact())));
+            }
         }
         self.jobs.retain(|job| !finished(job));
     }
@@ -394,6 +418,7 @@
             number: self.batch,
             ..RowBatch::default()
         };
+        batch.runs.append(&mut self.last_rows);
         for job in self.jobs.iter_mut().filter(|job| job.dirty) {
             job.dirty = false;
             batch.runs.push(run_entry(&job.id, Some(&job.run_fact())));
--- a/src/work/owner/renewals.rs
+++ b/src/work/owner/renewals.rs
@@ -63,14 +63,18 @@
                 true => RENEW_WAIT_MS,
                 false => 0,
             };
-            // A first look finds out what runs there before it prolongs anything.
+            // Leases of a silent upstream run out; it is only asked for a sign of life.
+            let answers = upstream.silent_count == 0;
             let lease_until_ms = upstream
                 .clock
+                .filter(|_| answers)
                 .map(|clock| clock.at_least(now_ms) + self.timing.lease_ms);
             upstream.renewing = true;
             upstream.told_end = upstream.recorded_end;
-            let lapsed_ms = now_ms + surely_passed_ms(self.timing.lease_ms) + LAPSE_MARGIN_MS;
-            upstream.lapsed_ms = upstream.lapsed_ms.max(lapsed_ms);
+            if lease_until_ms.is_some() {
+                let lapsed_ms = now_ms + surely_passed_ms(self.timing.lease_ms) + LAPSE_MARGIN_MS;
+                upstream.lapsed_ms = upstream.lapsed_ms.max(lapsed_ms);
+            }
             self.ready.push(UpstreamOrder::Renew(RenewOrder {
                 target,
                 lease_until_ms,
