--- a/src/work/displace.rs
+++ b/src/work/displace.rs
@@ -23,12 +23,12 @@
 pub fn choose_victims(
     demand: &UnitDemand,
     open: &[OpenUpstream],
-    victims: &[VictimUnit],
+    victims: &[&VictimUnit],
 ) -> Option<Vec<usize>> {
     let mut order: Vec<usize> = (0..victims.len()).collect();
     // Least important first, then what loses least for the room that it frees.
     order.sort_by_key(|&index| {
-        let victim = &victims[index];
+        let victim = victims[index];
         let freed = victim.need.weight_milli() * victim.upstreams.len() as u64;
         (
             std::cmp::Reverse(victim.priority),
@@ -39,7 +39,7 @@
     let mut room = open.to_vec();
     let mut chosen = Vec::new();
     for index in order {
-        free_room(&mut room, &victims[index]);
+        free_room(&mut room, victims[index]);
         chosen.push(index);
         if place_unit(demand, &room).is_some() {
             return Some(spare_needless(demand, open, victims, chosen));
@@ -58,14 +58,14 @@
 fn spare_needless(
     demand: &UnitDemand,
     open: &[OpenUpstream],
-    victims: &[VictimUnit],
+    victims: &[&VictimUnit],
     mut chosen: Vec<usize>,
 ) -> Vec<usize> {
     for position in (0..chosen.len()).rev() {
         let mut room = open.to_vec();
         for (other, &index) in chosen.iter().enumerate() {
             if other != position {
-                free_room(&mut room, &victims[index]);
+                free_room(&mut room, victims[index]);
             }
         }
         if place_unit(demand, &room).is_some() {
--- a/src/work/order.rs
+++ b/src/work/order.rs
@@ -20,8 +20,6 @@
     pub slack_ms: i64,
     /// Work left of its whole job, in thousandths of a core x ms.
     pub work: u64,
-    /// How long it has waited, in ms.
-    pub waited_ms: u64,
     /// Whether other tasks of its job have begun.
     pub begun: bool,
 }
--- a/src/work/owner/job_state.rs
+++ b/src/work/owner/job_state.rs
@@ -129,8 +129,8 @@
     pub recorded_phase: JobPhase,
     /// Whether the tasks changed since they were last recorded.
     pub dirty: bool,
-    /// When this owner first saw it, steady ms.
-    pub seen_ms: u64,
+    /// Whether its members may need orders.
+    pub drive_due: bool,
 }
 
 impl JobState {
@@ -150,7 +150,7 @@
             phase,
             recorded_phase: phase,
             dirty: false,
-            seen_ms: now_ms,
+            drive_due: true,
         }
     }
 
@@ -204,32 +204,40 @@
 
     /// Returns unit and member of a task's name.
     pub fn locate(&self, task: &TaskRef) -> Option<(usize, usize)> {
-        let holds = |shape: &UnitShape| {
-            shape.round == task.round
-                && shape.step == task.step
-                && (shape.first..shape.first + shape.count).contains(&task.index)
-        };
-        let unit = self.shapes.iter().position(holds)?;
-        Some((unit, (task.index - self.shapes[unit].first) as usize))
-    }
-
-    /// Returns whether a unit's turn has come.
-    pub fn is_ready(&self, unit: usize, wall_ms: u64) -> bool {
+        let key = (task.round, task.step, task.index);
+        let after = self
+            .shapes
+            .partition_point(|shape| (shape.round, shape.step, shape.first) <= key);
+        let unit = after.checked_sub(1)?;
         let shape = self.shapes[unit];
-        self.units[unit].phase == UnitPhase::Waiting
-            && !self.phase.is_over()
-            && self.fact.spec.due_ms(shape.round) <= wall_ms
-            && self
-                .step(unit)
-                .after
-                .iter()
-                .all(|&step| self.step_done(shape.round, step))
+        let holds = shape.round == task.round
+            && shape.step == task.step
+            && task.index - shape.first < shape.count;
+        holds.then_some((unit, (task.index - shape.first) as usize))
     }
 
-    fn step_done(&self, round: u32, step: u32) -> bool {
-        let of_step = |shape: &UnitShape| shape.round == round && shape.step == step;
-        let mut both = self.shapes.iter().zip(&self.units);
-        both.all(|(shape, unit)| !of_step(shape) || unit.phase == UnitPhase::Done)
+    /// Returns the waiting units whose turn has come, step by step.
+    pub fn ready_units(&self, wall_ms: u64) -> Vec<usize> {
+        if self.phase.is_over() {
+            return Vec::new();
+        }
+        let steps = self.fact.spec.steps.len();
+        let mut undone = vec![false; steps * self.fact.spec.rounds() as usize];
+        let slot = |shape: &UnitShape| shape.round as usize * steps + shape.step as usize;
+        for (shape, unit) in self.shapes.iter().zip(&self.units) {
+            undone[slot(shape)] |= unit.phase != UnitPhase::Done;
+        }
+        let turn_has_come = |unit: usize| {
+            let shape = &self.shapes[unit];
+            let round = shape.round as usize * steps;
+            let after = &self.fact.spec.steps[shape.step as usize].after;
+            self.fact.spec.due_ms(shape.round) <= wall_ms
+                && after.iter().all(|&step| !undone[round + step as usize])
+        };
+        (0..self.units.len())
+            .filter(|&unit| self.units[unit].phase == UnitPhase::Waiting)
+            .filter(|&unit| turn_has_come(unit))
+            .collect()
     }
 
     /// Returns whether all units are done.
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -27,6 +27,8 @@
 const LAPSE_MARGIN_MS: u64 = 250;
 /// Longest time between two rounds of placement, in ms.
 const PLAN_EVERY_MS: u64 = 250;
+/// Shortest time between two rounds of placement, in ms: events come in bunches.
+const PLAN_PAUSE_MS: u64 = 8;
 
 /// Bounds that the owner works within.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,12 +84,16 @@
     durable: u64,
     phases: Vec<(ObjectName, JobPhase)>,
     finished: Vec<ObjectName>,
+    /// Jobs that ended in this term, sorted.
+    ended: Vec<ObjectName>,
     last_rows: Vec<KeyedValue>,
     dropped: Vec<ObjectName>,
     now: HostTime,
     plan_due: bool,
-    /// When a round of placement is due without any event, steady ms.
-    plan_ms: u64,
+    /// When the last round of placement was, steady ms.
+    planned_ms: u64,
+    /// When all members are looked at for orders again, steady ms.
+    drive_ms: u64,
     deposed: bool,
     /// Highest wait of leases that earlier owners may have given, steady ms.
     inherited_ms: u64,
@@ -109,11 +115,13 @@
             durable: 0,
             phases: Vec::new(),
             finished: Vec::new(),
+            ended: Vec::new(),
             last_rows: Vec::new(),
             dropped: Vec::new(),
             now,
             plan_due: true,
-            plan_ms: 0,
+            planned_ms: 0,
+            drive_ms: 0,
             deposed: false,
             inherited_ms: now.steady_ms + inherited,
         }
@@ -161,6 +169,10 @@
         let Err(index) = self.jobs.binary_search_by(|job| job.id.cmp(id)) else {
             return;
         };
+        // Handed in again before its last phase is in the table.
+        if self.ended.binary_search(id).is_ok() {
+            return;
+        }
         let mut job = JobState::new(id.clone(), fact, phase, self.now.steady_ms);
         if let Some(stored) = stored {
             job.restore(stored);
@@ -345,6 +357,7 @@
         if state.phase == UnitPhase::Active {
             state.phase = UnitPhase::Stopping;
             self.jobs[job].dirty = true;
+            self.jobs[job].drive_due = true;
         }
         self.settle_unit(job, unit);
     }
@@ -382,9 +395,10 @@
     pub fn tick(&mut self, now: HostTime) {
         self.now = now;
         self.lapse_silent();
-        if self.plan_due || now.steady_ms >= self.plan_ms {
+        let passed_ms = now.steady_ms.saturating_sub(self.planned_ms);
+        if passed_ms >= PLAN_EVERY_MS || (self.plan_due && passed_ms >= PLAN_PAUSE_MS) {
             self.plan_due = false;
-            self.plan_ms = now.steady_ms + PLAN_EVERY_MS;
+            self.planned_ms = now.steady_ms;
             self.plan();
         }
         self.drive_members();
@@ -403,6 +417,9 @@
         let finished = |job: &JobState| job.phase.is_over() && job.is_clear();
         for job in self.jobs.iter().filter(|job| finished(job)) {
             self.finished.push(job.id.clone());
+            if let Err(index) = self.ended.binary_search(&job.id) {
+                self.ended.insert(index, job.id.clone());
+            }
             // Its last ends are acknowledged with this batch, before its phase is recorded.
             if job.dirty {
                 self.last_rows
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -1,13 +1,14 @@
 //! A round of placement over all waiting units.
 
 use crate::tables::name::ObjectName;
+use crate::work::amount::ResourceAmount;
 use crate::work::config::QueueRule;
 use crate::work::displace::{VictimUnit, choose_victims};
 use crate::work::order::{OrderKey, WaitingUnit, order_key};
 use crate::work::owner::PoolOwner;
 use crate::work::owner::job_state::{MemberPhase, MemberState, UnitPhase};
 use crate::work::owner::upstream_state::HeldTask;
-use crate::work::place::{OpenUpstream, UnitDemand, place_unit};
+use crate::work::place::{OpenUpstream, UnitDemand, fits_a_rack, place_unit};
 
 /// How long a unit waits for room near its data or in one rack, in ms. It is short, since
 /// callers would rather have slow work than none while there is room.
@@ -17,18 +18,39 @@
 /// Failed upstreams that a unit avoids.
 const AVOID_MAX: usize = 6;
 
+/// A step's waiting units of one job.
 struct Candidate {
     key: OrderKey,
     job: usize,
-    unit: usize,
+    units: Vec<usize>,
 }
 
-/// Places that a round may use.
+/// Upstreams of one pool that take work, kept up to date through a round.
 struct OpenPool {
+    name: ObjectName,
     open: Vec<OpenUpstream>,
     /// Index in the owner's table for each open upstream.
     rows: Vec<usize>,
-    reserved: Vec<bool>,
+}
+
+/// Accelerators that a team's urgent jobs hold.
+struct TeamUse {
+    team: ObjectName,
+    held: u64,
+}
+
+/// A unit that may be displaced, and where it stands.
+struct RunningVictim {
+    victim: VictimUnit,
+    job: usize,
+    unit: usize,
+}
+
+/// What a round carries along.
+struct PlanRound {
+    pools: Vec<OpenPool>,
+    /// Demands that found no room; equal ones of the round fail alike.
+    hopeless: Vec<UnitDemand>,
 }
 
 impl PoolOwner {
@@ -40,37 +62,39 @@
 
     /// Places what fits, in order, and makes room for urgent work.
     pub(super) fn plan(&mut self) {
-        let mut candidates = self.candidates();
-        if candidates.is_empty() {
-            return;
-        }
-        candidates.sort_by_key(|candidate| (candidate.key, candidate.job, candidate.unit));
-        let mut hopeless: Vec<UnitDemand> = Vec::new();
+        let teams = self.team_use();
+        let mut candidates = self.candidates(&teams);
+        candidates.sort_by_key(|candidate| (candidate.key, candidate.job));
+        let mut round = PlanRound {
+            pools: Vec::new(),
+            hopeless: Vec::new(),
+        };
         for candidate in &candidates {
-            self.place_candidate(candidate, &mut hopeless);
+            self.place_candidate(candidate, &mut round);
         }
     }
 
-    fn candidates(&self) -> Vec<Candidate> {
-        let mut found = Vec::new();
-        for (index, job) in self.jobs.iter().enumerate() {
-            if job.phase.is_over() {
-                continue;
-            }
-            for unit in 0..job.units.len() {
-                if job.is_ready(unit, self.now.wall_ms) {
-                    found.push(Candidate {
-                        key: order_key(&self.waiting_unit(index, unit)),
-                        job: index,
-                        unit,
-                    });
-                }
+    fn candidates(&self, teams: &[TeamUse]) -> Vec<Candidate> {
+        let mut found: Vec<Candidate> = Vec::new();
+        for job in 0..self.jobs.len() {
+            let ready = self.jobs[job].ready_units(self.now.wall_ms);
+            let same_step = |left: &usize, right: &usize| {
+                let shapes = &self.jobs[job].shapes;
+                (shapes[*left].round, shapes[*left].step)
+                    == (shapes[*right].round, shapes[*right].step)
+            };
+            for units in ready.chunk_by(same_step) {
+                found.push(Candidate {
+                    key: order_key(&self.waiting_unit(job, units[0], teams)),
+                    job,
+                    units: units.to_vec(),
+                });
             }
         }
         found
     }
 
-    fn waiting_unit(&self, job: usize, unit: usize) -> WaitingUnit {
+    fn waiting_unit(&self, job: usize, unit: usize, teams: &[TeamUse]) -> WaitingUnit {
         let state = &self.jobs[job];
         let rule = self.rule(job);
         let spec = &state.fact.spec;
@@ -78,34 +102,50 @@
             .fact
             .accepted_ms
             .max(spec.due_ms(state.shapes[unit].round));
-        let allowed_ms = rule.allowed_ms(spec.chain_ms());
-        let due_ms = begun_ms + allowed_ms.saturating_sub(spec.chain_ms());
+        let chain_ms = spec.chain_ms();
+        let due_ms = begun_ms + rule.allowed_ms(chain_ms).saturating_sub(chain_ms);
         WaitingUnit {
             priority: rule.priority,
-            guaranteed: rule.priority == 0 && self.is_guaranteed(job),
+            guaranteed: rule.priority == 0 && self.is_guaranteed(job, teams),
             slack_ms: due_ms as i64 - self.now.wall_ms as i64,
             work: spec.work(),
-            waited_ms: self
-                .now
-                .steady_ms
-                .saturating_sub(state.units[unit].since_ms),
             begun: state.units.iter().any(|unit| unit.run > 0),
         }
     }
 
-    /// Returns whether a job of priority 0 fits what its team is guaranteed, beside what the
-    /// team's other such jobs hold.
-    fn is_guaranteed(&self, job: usize) -> bool {
+    /// Returns what each team's urgent jobs hold, sorted by team.
+    fn team_use(&self) -> Vec<TeamUse> {
+        let mut teams: Vec<TeamUse> = Vec::new();
+        for job in 0..self.jobs.len() {
+            let Some(team) = &self.jobs[job].fact.team else {
+                continue;
+            };
+            if self.rule(job).priority != 0 {
+                continue;
+            }
+            let held = self.held_accelerators(job);
+            match teams.binary_search_by(|row| row.team.cmp(team)) {
+                Ok(index) => teams[index].held += held,
+                Err(index) => {
+                    let team = team.clone();
+                    teams.insert(index, TeamUse { team, held });
+                }
+            }
+        }
+        teams
+    }
+
+    /// Returns whether an urgent job fits what its team is guaranteed, beside what the team's
+    /// other urgent jobs hold.
+    fn is_guaranteed(&self, job: usize, teams: &[TeamUse]) -> bool {
         let Some(team) = &self.jobs[job].fact.team else {
             return false;
         };
-        let held: u64 = (0..self.jobs.len())
-            .filter(|&other| other != job && self.jobs[other].fact.team.as_ref() == Some(team))
-            .filter(|&other| self.rule(other).priority == 0)
-            .map(|other| self.held_accelerators(other))
-            .sum();
+        let row = teams.binary_search_by(|row| row.team.cmp(team));
+        let held = row.map_or(0, |index| teams[index].held);
+        let others = held.saturating_sub(self.held_accelerators(job));
         let wanted = self.jobs[job].fact.spec.first_accelerators();
-        held + wanted <= self.config.guaranteed(team)
+        others + wanted <= self.config.guaranteed(team)
     }
 
     fn held_accelerators(&self, job: usize) -> u64 {
@@ -118,23 +158,21 @@
         (0..state.units.len()).map(of_unit).sum()
     }
 
-    fn open_pool(&self, pool: &ObjectName, urgent: bool) -> OpenPool {
+    fn open_pool(&self, pool: &ObjectName) -> OpenPool {
         let now_ms = self.now.steady_ms;
         let mut all = OpenPool {
+            name: pool.clone(),
             open: Vec::new(),
             rows: Vec::new(),
-            reserved: Vec::new(),
         };
         for (row, upstream) in self.upstreams.iter().enumerate() {
             let Some(report) = &upstream.report else {
                 continue;
             };
-            let reserved = upstream.reserved_ms > now_ms;
-            if report.pool != *pool || !upstream.is_open(now_ms) || (reserved && !urgent) {
+            if report.pool != *pool || !upstream.is_open(now_ms) {
                 continue;
             }
             all.rows.push(row);
-            all.reserved.push(reserved);
             all.open.push(OpenUpstream {
                 name: upstream.name.clone(),
                 rack: report.rack.clone(),
@@ -142,12 +180,13 @@
                 capacity: report.capacity,
                 free: upstream.free(),
                 blame: upstream.blame,
+                reserved: upstream.reserved_ms > now_ms,
             });
         }
         all
     }
 
-    fn demand(&self, job: usize, unit: usize, pool: &OpenPool) -> UnitDemand {
+    fn demand(&self, job: usize, unit: usize, pool: &OpenPool, urgent: bool) -> UnitDemand {
         let state = &self.jobs[job];
         let step = state.step(unit);
         let shape = state.shapes[unit];
@@ -156,6 +195,7 @@
             .steady_ms
             .saturating_sub(state.units[unit].since_ms);
         let patient = waited_ms < NEAR_WAIT_MS;
+        let failed_on = state.units[unit].failed_on.iter().rev();
         let mut demand = UnitDemand {
             count: shape.count as usize,
             need: step.need,
@@ -166,13 +206,8 @@
             may_spread: !patient,
             spread_max: step.spread_max as usize,
             siblings: Vec::new(),
-            avoid: state.units[unit]
-                .failed_on
-                .iter()
-                .rev()
-                .take(AVOID_MAX)
-                .cloned()
-                .collect(),
+            avoid: failed_on.take(AVOID_MAX).cloned().collect(),
+            urgent,
         };
         if step.spread_max > 0 {
             demand.siblings = self.siblings(job, unit);
@@ -195,36 +230,47 @@
             .collect()
     }
 
-    fn place_candidate(&mut self, candidate: &Candidate, hopeless: &mut Vec<UnitDemand>) {
-        let (job, unit) = (candidate.job, candidate.unit);
+    fn place_candidate(&mut self, candidate: &Candidate, round: &mut PlanRound) {
+        let job = candidate.job;
         let rule = self.rule(job);
         let urgent = rule.priority == 0;
-        let pool_name = rule.pool.clone();
-        let pool = self.open_pool(&pool_name, urgent);
-        let demand = self.demand(job, unit, &pool);
-        // Equal demands of one round fail alike.
-        if hopeless.contains(&demand) {
-            return;
-        }
-        match place_unit(&demand, &pool.open) {
-            Some(chosen) => self.assign(job, unit, &pool, &chosen),
-            None if urgent => self.make_room(job, unit, &pool, demand, hopeless),
-            None => hopeless.push(demand),
+        let name = rule.pool.clone();
+        let index = match round.pools.iter().position(|pool| pool.name == name) {
+            Some(index) => index,
+            None => {
+                round.pools.push(self.open_pool(&name));
+                round.pools.len() - 1
+            }
+        };
+        for &unit in &candidate.units {
+            let pool = &mut round.pools[index];
+            let demand = self.demand(job, unit, pool, urgent);
+            if round.hopeless.contains(&demand) {
+                return;
+            }
+            match place_unit(&demand, &pool.open) {
+                Some(chosen) => self.assign(job, unit, pool, &chosen),
+                None => {
+                    if urgent {
+                        self.make_room(job, unit, pool, &demand);
+                    }
+                    round.hopeless.push(demand);
+                    return;
+                }
+            }
         }
     }
 
-    fn assign(&mut self, job: usize, unit: usize, pool: &OpenPool, chosen: &[usize]) {
+    fn assign(&mut self, job: usize, unit: usize, pool: &mut OpenPool, chosen: &[usize]) {
         let id = self.jobs[job].id.clone();
         let need = self.jobs[job].step(unit).need;
-        let waited_ms = self
-            .now
-            .steady_ms
-            .saturating_sub(self.jobs[job].units[unit].since_ms);
+        let now_ms = self.now.steady_ms;
         let state = &mut self.jobs[job].units[unit];
+        let waited_ms = now_ms.saturating_sub(state.since_ms);
         state.phase = UnitPhase::Active;
         state.run += 1;
         state.resumed = state.saved.clone();
-        state.since_ms = self.now.steady_ms;
+        state.since_ms = now_ms;
         state.displaced = false;
         let run = state.run;
         log::info!(
@@ -241,6 +287,8 @@
                 need,
             });
             upstream.reserved_ms = 0;
+            pool.open[index].reserved = false;
+            pool.open[index].free = upstream.free();
             let place = MemberState {
                 phase: MemberPhase::Planned,
                 upstream: Some(upstream.name.clone()),
@@ -250,44 +298,39 @@
             self.jobs[job].units[unit].members[member] = place;
         }
         self.jobs[job].dirty = true;
+        self.jobs[job].drive_due = true;
     }
 
     /// Displaces work that may wait, once for each urgent unit until its room has come.
-    fn make_room(
-        &mut self,
-        job: usize,
-        unit: usize,
-        pool: &OpenPool,
-        demand: UnitDemand,
-        hopeless: &mut Vec<UnitDemand>,
-    ) {
+    fn make_room(&mut self, job: usize, unit: usize, pool: &mut OpenPool, demand: &UnitDemand) {
+        let mut relaxed = demand.clone();
+        relaxed.any_rack = true;
+        relaxed.may_spread = true;
         let pending = self.leaving_room(pool);
-        if place_unit(&demand, &pending).is_some() {
+        if let Some(chosen) = place_unit(&relaxed, &pending) {
             // What is being stopped will do; keep it.
-            self.reserve(pool, &pending, &demand);
+            self.reserve(pool, &chosen);
             return;
         }
-        let units = self.victim_units(job, pool);
-        let victims: Vec<VictimUnit> = units.iter().map(|(victim, _, _)| victim.clone()).collect();
-        let mut relaxed = demand.clone();
-        relaxed.any_rack = true;
-        relaxed.may_spread = true;
+        let running = self.running_victims(job, pool);
+        let victims: Vec<&VictimUnit> = running.iter().map(|one| &one.victim).collect();
         let Some(chosen) = choose_victims(&relaxed, &pending, &victims) else {
-            hopeless.push(demand);
             return;
         };
         for index in chosen {
-            let (_, other, other_unit) = &units[index];
+            let (other, other_unit) = (running[index].job, running[index].unit);
             log::info!(
-                job = self.jobs[*other].id.as_str(), unit = *other_unit,
+                job = self.jobs[other].id.as_str(), unit = other_unit,
                 for_job = self.jobs[job].id.as_str(), for_unit = unit;
                 "owner: a unit makes room for urgent work."
             );
-            self.jobs[*other].units[*other_unit].displaced = true;
-            self.stop_unit(*other, *other_unit);
+            self.jobs[other].units[other_unit].displaced = true;
+            self.stop_unit(other, other_unit);
         }
         let pending = self.leaving_room(pool);
-        self.reserve(pool, &pending, &relaxed);
+        if let Some(chosen) = place_unit(&relaxed, &pending) {
+            self.reserve(pool, &chosen);
+        }
     }
 
     /// Returns the open upstreams as they will be once all that is being stopped is gone.
@@ -306,66 +349,66 @@
         room
     }
 
-    fn reserve(&mut self, pool: &OpenPool, room: &[OpenUpstream], demand: &UnitDemand) {
+    fn reserve(&mut self, pool: &mut OpenPool, chosen: &[usize]) {
         let until_ms = self.now.steady_ms + RESERVE_MS;
-        for index in place_unit(demand, room).unwrap_or_default() {
+        for &index in chosen {
             self.upstreams[pool.rows[index]].reserved_ms = until_ms;
+            pool.open[index].reserved = true;
+            // Other urgent units of this round look elsewhere.
+            pool.open[index].free = ResourceAmount::default();
         }
     }
 
     /// Returns running units of less urgent queues in the same pool.
-    fn victim_units(&self, job: usize, pool: &OpenPool) -> Vec<(VictimUnit, usize, usize)> {
+    fn running_victims(&self, job: usize, pool: &OpenPool) -> Vec<RunningVictim> {
         let priority = self.rule(job).priority;
-        let position = |name: &ObjectName| pool.open.iter().position(|open| open.name == *name);
         let mut victims = Vec::new();
         for (other, state) in self.jobs.iter().enumerate() {
-            let rule = self.rule(other);
-            if rule.priority <= priority {
+            if self.rule(other).priority <= priority {
                 continue;
             }
-            for (unit, unit_state) in state.units.iter().enumerate() {
-                let lasting = state.step(unit).lasting;
-                if unit_state.phase != UnitPhase::Active || lasting {
-                    continue;
-                }
-                let upstreams: Vec<usize> = unit_state
-                    .members
-                    .iter()
-                    .filter_map(|member| position(member.upstream.as_ref()?))
-                    .collect();
-                if upstreams.is_empty() {
-                    continue;
+            for unit in 0..state.units.len() {
+                let may_go = state.units[unit].phase == UnitPhase::Active;
+                if may_go && !state.step(unit).lasting {
+                    victims.extend(self.running_victim(other, unit, pool));
                 }
-                let step = state.step(unit);
-                let done_ms = match step.checkpoints {
-                    true => 0,
-                    false => self.now.steady_ms.saturating_sub(unit_state.since_ms),
-                };
-                let need = step.need;
-                let lost = done_ms * need.weight_milli() * upstreams.len() as u64;
-                let victim = VictimUnit {
-                    upstreams,
-                    need,
-                    lost,
-                    priority: rule.priority,
-                };
-                victims.push((victim, other, unit));
             }
         }
         victims
     }
-}
 
-/// Returns whether some rack could hold the whole unit if it were empty.
-fn fits_a_rack(demand: &UnitDemand, open: &[OpenUpstream]) -> bool {
-    let mut racks: Vec<&ObjectName> = open.iter().filter_map(|one| one.rack.as_ref()).collect();
-    racks.sort_unstable();
-    racks.dedup();
-    racks.into_iter().any(|rack| {
-        let own = open.iter().filter(|one| one.rack.as_ref() == Some(rack));
-        let room: u64 = own
-            .map(|one| one.capacity.count_of(&demand.need).min(demand.count as u64))
-            .sum();
-        room >= demand.count as u64
-    })
+    fn running_victim(&self, job: usize, unit: usize, pool: &OpenPool) -> Option<RunningVictim> {
+        let state = &self.jobs[job];
+        let step = state.step(unit);
+        let position = |name: &ObjectName| {
+            // Both are sorted by name.
+            pool.open.binary_search_by(|open| open.name.cmp(name)).ok()
+        };
+        let upstreams: Vec<usize> = state.units[unit]
+            .members
+            .iter()
+            .filter_map(|member| position(member.upstream.as_ref()?))
+            .collect();
+        if upstreams.is_empty() {
+            return None;
+        }
+        let done_ms = match step.checkpoints {
+            true => 0,
+            false => self
+                .now
+                .steady_ms
+                .saturating_sub(state.units[unit].since_ms),
+        };
+        let tasks = upstreams.len() as u64;
+        Some(RunningVictim {
+            victim: VictimUnit {
+                upstreams,
+                need: step.need,
+                lost: done_ms * step.need.weight_milli() * tasks,
+                priority: self.rule(job).priority,
+            },
+            job,
+            unit,
+        })
+    }
 }
--- a/src/work/owner/renewals.rs
+++ b/src/work/owner/renewals.rs
@@ -14,6 +14,8 @@
 const RETRY_MS: u64 = 150;
 /// Pause between looks while ends wait to be recorded, in ms.
 pub(super) const RECORD_PAUSE_MS: u64 = 500;
+/// Time between two rounds over all members for orders that were not answered, in ms.
+const DRIVE_ALL_MS: u64 = 150;
 /// Pause before an order that got no answer is sent again, in ms.
 const RESEND_MS: u64 = 700;
 
@@ -91,10 +93,17 @@
 
     /// Sends orders to members that should start or stop.
     pub(super) fn drive_members(&mut self) {
+        let all = self.now.steady_ms >= self.drive_ms;
+        if all {
+            self.drive_ms = self.now.steady_ms + DRIVE_ALL_MS;
+        }
         for job in 0..self.jobs.len() {
+            if !std::mem::take(&mut self.jobs[job].drive_due) && !all {
+                continue;
+            }
             for unit in 0..self.jobs[job].units.len() {
                 let phase = self.jobs[job].units[unit].phase;
-                if matches!(phase, UnitPhase::Waiting) {
+                if matches!(phase, UnitPhase::Waiting | UnitPhase::Done) {
                     continue;
                 }
                 for member in 0..self.jobs[job].units[unit].members.len() {
--- a/src/work/place.rs
+++ b/src/work/place.rs
@@ -23,6 +23,8 @@
     pub free: ResourceAmount,
     /// Failures lately; fewer is better.
     pub blame: f64,
+    /// Whether its room is kept for urgent work.
+    pub reserved: bool,
 }
 
 /// What a unit asks for.
@@ -48,6 +50,8 @@
     pub siblings: Vec<ObjectName>,
     /// Upstreams to avoid where another will do.
     pub avoid: Vec<ObjectName>,
+    /// Whether it may take room that is kept for urgent work.
+    pub urgent: bool,
 }
 
 /// Chooses an upstream for each task of a unit; none if they do not all fit. The result holds
@@ -72,44 +76,40 @@
 
 /// The rack that is left with the least room, so that others stay whole.
 fn fill_one_rack(demand: &UnitDemand, open: &[OpenUpstream]) -> Option<Vec<usize>> {
-    let mut racks: Vec<&ObjectName> = open.iter().filter_map(|one| one.rack.as_ref()).collect();
-    racks.sort_unstable();
-    racks.dedup();
-    let room = |rack: &ObjectName| -> u64 {
-        let own = open.iter().filter(|one| one.rack.as_ref() == Some(rack));
-        own.map(|one| one.free.count_of(&demand.need).min(demand.count as u64))
-            .sum()
+    let wanted = demand.count as u64;
+    let room = |upstream: &OpenUpstream| match suits(demand, upstream) {
+        true => (room_on(demand, upstream) as u64).min(wanted),
+        false => 0,
     };
-    let mut fitting: Vec<(u64, &ObjectName)> = racks
-        .into_iter()
-        .map(|rack| (room(rack), rack))
-        .filter(|(room, _)| *room >= demand.count as u64)
-        .collect();
-    fitting.sort();
-    fitting.into_iter().find_map(|(_, rack)| {
+    let mut fitting = rack_rooms(open, room);
+    fitting.retain(|rack| rack.room >= wanted);
+    fitting.sort_by_key(|rack| rack.room);
+    fitting.into_iter().find_map(|rack| {
         fill(demand, open, |upstream| {
-            upstream.rack.as_ref() == Some(rack)
+            upstream.rack.as_ref() == Some(rack.rack)
         })
     })
 }
 
+/// How good a place is; smaller is better.
+type PlaceKey = (bool, u64, u64);
+
+/// Parts of a failure that blame is counted in when places are compared.
+const BLAME_PARTS: f64 = 4.0;
+
 fn fill(
     demand: &UnitDemand,
     open: &[OpenUpstream],
     allowed: impl Fn(&OpenUpstream) -> bool,
 ) -> Option<Vec<usize>> {
-    let mut order: Vec<usize> = (0..open.len())
-        .filter(|&index| suits(demand, &open[index]) && allowed(&open[index]))
-        .collect();
-    order.sort_by(|&left, &right| {
-        let (left, right) = (&open[left], &open[right]);
-        let avoided = |one: &OpenUpstream| demand.avoid.contains(&one.name);
-        avoided(left)
-            .cmp(&avoided(right))
-            .then(left.blame.total_cmp(&right.blame))
-            .then(free_weight(left).cmp(&free_weight(right)))
-            .then(left.name.cmp(&right.name))
-    });
+    let suitable = (0..open.len()).filter(|&index| suits(demand, &open[index]));
+    let suitable = suitable.filter(|&index| allowed(&open[index]));
+    if demand.count == 1 {
+        let best = suitable.min_by_key(|&index| (place_key(demand, &open[index]), index));
+        return best.map(|index| vec![index]);
+    }
+    let mut order: Vec<usize> = suitable.collect();
+    order.sort_by_cached_key(|&index| (place_key(demand, &open[index]), index));
     let mut chosen = Vec::with_capacity(demand.count);
     for index in order {
         let room = room_on(demand, &open[index]).min(demand.count - chosen.len());
@@ -121,8 +121,12 @@
     None
 }
 
-fn free_weight(upstream: &OpenUpstream) -> u64 {
-    upstream.free.share_of(&upstream.capacity)
+/// Upstreams without failures first, then those with the least room, so that whole ones stay
+/// free.
+fn place_key(demand: &UnitDemand, upstream: &OpenUpstream) -> PlaceKey {
+    let avoided = demand.avoid.contains(&upstream.name);
+    let blame = (upstream.blame * BLAME_PARTS) as u64;
+    (avoided, blame, upstream.free.share_of(&upstream.capacity))
 }
 
 fn suits(demand: &UnitDemand, upstream: &OpenUpstream) -> bool {
@@ -130,7 +134,37 @@
         .label
         .as_ref()
         .is_none_or(|label| upstream.labels.contains(label));
-    labelled && room_on(demand, upstream) > 0
+    labelled && (demand.urgent || !upstream.reserved) && room_on(demand, upstream) > 0
+}
+
+/// Returns whether some rack could hold the whole unit if it were empty.
+pub fn fits_a_rack(demand: &UnitDemand, open: &[OpenUpstream]) -> bool {
+    let wanted = demand.count as u64;
+    let room = |upstream: &OpenUpstream| upstream.capacity.count_of(&demand.need).min(wanted);
+    rack_rooms(open, room)
+        .into_iter()
+        .any(|rack| rack.room >= wanted)
+}
+
+/// A rack with the number of tasks that it holds.
+struct RackRoom<'a> {
+    room: u64,
+    rack: &'a ObjectName,
+}
+
+fn rack_rooms(open: &[OpenUpstream], room: impl Fn(&OpenUpstream) -> u64) -> Vec<RackRoom<'_>> {
+    let mut rooms: Vec<RackRoom<'_>> = Vec::new();
+    for upstream in open {
+        let Some(rack) = &upstream.rack else { continue };
+        match rooms.binary_search_by(|row| row.rack.cmp(rack)) {
+            Ok(index) => rooms[index].room += room(upstream),
+            Err(index) => {
+                let room = room(upstream);
+                rooms.insert(index, RackRoom { room, rack });
+            }
+        }
+    }
+    rooms
 }
 
 fn room_on(demand: &UnitDemand, upstream: &OpenUpstream) -> usize {
--- a/src/work/succession.rs
+++ b/src/work/succession.rs
@@ -9,9 +9,9 @@
 /// Silence of the owner, while the store answers, after which others try, in ms.
 const OWNER_SILENT_MS: u64 = 1_400;
 /// Longest extra wait by which hosts avoid trying at once, in ms.
-const SPREAD_MS: u64 = 500;
+const SPREAD_MS: u64 = 600;
 /// Extra wait where nobody owns the pool, in ms.
-const VACANT_SPREAD_MS: u64 = 120;
+const VACANT_SPREAD_MS: u64 = 400;
 /// Longest time between two answers of the store that still counts as answering, in ms.
 const ANSWER_GAP_MS: u64 = 1_200;
 /// Bits of a term that tell rivals for it apart.
