Keep room for gangs that wait; stay near data while the pool is busy

Now room is kept for a named unit, urgent late work displaces nothing beyond its team's guarantee, four waiting gangs keep room, units displaced before are spared, and a unit waits for its rack as long as slow work would cost.

--- a/src/work/displace.rs
+++ b/src/work/displace.rs
@@ -4,7 +4,7 @@
 //! Whole units are displaced, those that lose least first, and only as many as are needed.
 
 use crate::work::amount::ResourceAmount;
-use crate::work::place::{OpenUpstream, UnitDemand, place_unit};
+use crate::work::place::{OpenUpstream, RoomClaim, UnitDemand, place_unit};
 
 /// A unit that may be displaced.
 #[derive(Clone, Debug)]
@@ -22,6 +22,7 @@
 /// Chooses victims so that the unit fits, as indexes into `victims`; none if it cannot.
 pub fn choose_victims(
     demand: &UnitDemand,
+    claim: &RoomClaim,
     open: &[OpenUpstream],
     victims: &[&VictimUnit],
 ) -> Option<Vec<usize>> {
@@ -41,8 +42,8 @@
     for index in order {
         free_room(&mut room, victims[index]);
         chosen.push(index);
-        if place_unit(demand, &room).is_some() {
-            return Some(spare_needless(demand, open, victims, chosen));
+        if place_unit(demand, claim, &room).is_some() {
+            return Some(spare_needless(demand, claim, open, victims, chosen));
         }
     }
     None
@@ -57,6 +58,7 @@
 /// Takes back victims without whom the unit fits as well, the costliest first.
 fn spare_needless(
     demand: &UnitDemand,
+    claim: &RoomClaim,
     open: &[OpenUpstream],
     victims: &[&VictimUnit],
     mut chosen: Vec<usize>,
@@ -68,7 +70,7 @@
                 free_room(&mut room, victims[index]);
             }
         }
-        if place_unit(demand, &room).is_some() {
+        if place_unit(demand, claim, &room).is_some() {
             chosen.remove(position);
         }
     }
--- a/src/work/order.rs
+++ b/src/work/order.rs
@@ -2,7 +2,8 @@
 //!
 //! Answers this pattern: more work waits than fits. Urgent queues go first; among the rest,
 //! units that can still meet their objective go before those that cannot, and short work
-//! before long, since the same capacity then meets more objectives.
+//! before long, since the same capacity then meets more objectives. What nobody waits for any
+//! more runs in what is left.
 
 /// Work that counts as one doubling when lengths are compared, in core-seconds.
 const SMALLEST_WORK: u64 = 1;
@@ -18,6 +19,8 @@
     pub guaranteed: bool,
     /// Time until it must start to be on time, in ms; negative when it is late already.
     pub slack_ms: i64,
+    /// Whether it is so late that nobody waits for it any more.
+    pub expired: bool,
     /// Work left of its whole job, in thousandths of a core x ms.
     pub work: u64,
     /// Whether other tasks of its job have begun.
@@ -27,6 +30,7 @@
 /// A place in the order; smaller goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct OrderKey {
+    expired: bool,
     priority: u32,
     borrowed: bool,
     late: bool,
@@ -39,6 +43,7 @@
     let seconds = (unit.work / CORE_SECOND).max(SMALLEST_WORK);
     let doublings = u64::BITS - seconds.leading_zeros();
     OrderKey {
+        expired: unit.expired,
         priority: unit.priority,
         borrowed: !unit.guaranteed,
         late: unit.slack_ms < 0,
--- a/src/work/owner/job_state.rs
+++ b/src/work/owner/job_state.rs
@@ -91,8 +91,8 @@
     pub since_ms: u64,
     /// Upstreams where its runs failed, newest last.
     pub failed_on: Vec<ObjectName>,
-    /// Whether it was stopped in favour of other work.
-    pub displaced: bool,
+    /// How often it was stopped in favour of other work.
+    pub displaced: u32,
 }
 
 impl UnitState {
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -8,19 +8,32 @@
 use crate::work::owner::PoolOwner;
 use crate::work::owner::job_state::{MemberPhase, MemberState, UnitPhase};
 use crate::work::owner::upstream_state::HeldTask;
-use crate::work::place::{OpenUpstream, UnitDemand, fits_a_rack, place_unit};
+use crate::work::place::{OpenUpstream, RoomClaim, UnitDemand, fits_a_rack, place_unit};
 
-/// How long a unit waits for room near its data or in one rack, in ms. It is short, since
-/// callers would rather have slow work than none while there is room.
-const NEAR_WAIT_MS: u64 = 2_000;
-/// How long room that was made for urgent work is kept for it, in ms.
-const RESERVE_MS: u64 = 1_500;
+/// How long a unit waits for room near its data or in one rack while half of the pool is idle,
+/// in ms. It is short, since callers would rather have slow work than none.
+const IDLE_NEAR_WAIT_MS: u64 = 1_500;
+/// Longest such wait while the pool is busy, in ms.
+const BUSY_NEAR_WAIT_MS: u64 = 15_000;
+/// How long room is kept for a unit before it is looked at again, in ms.
+const RESERVE_MS: u64 = 600;
+/// Waiting units, beside urgent ones, for which room is kept.
+const RESERVED_UNITS_MAX: usize = 4;
+/// Time until it must start below which a unit's room is made rather than waited for, in ms.
+const MAKE_ROOM_SLACK_MS: i64 = 4_000;
+/// Multiple of its objective after which nobody waits for a job any more.
+const EXPIRED_FACTOR: u64 = 3;
+/// Work that a unit with checkpoints loses when it is stopped, in ms.
+const CHECKPOINT_LOSS_MS: u64 = 1_000;
+/// Share of the room in use above which a pool counts as busy, in thousandths.
+const BUSY_SHARE: u64 = 450;
 /// Failed upstreams that a unit avoids.
 const AVOID_MAX: usize = 6;
 
 /// A step's waiting units of one job.
 struct Candidate {
     key: OrderKey,
+    waiting: WaitingUnit,
     job: usize,
     units: Vec<usize>,
 }
@@ -33,6 +46,27 @@
     rows: Vec<usize>,
 }
 
+impl OpenPool {
+    /// Returns whether more than half of the room is in use.
+    fn is_busy(&self) -> bool {
+        let sum = |amount: fn(&OpenUpstream) -> ResourceAmount| {
+            let amounts = self.open.iter().map(amount);
+            amounts.fold(ResourceAmount::default(), |sum, one| sum.plus(&one))
+        };
+        let capacity = sum(|open| open.capacity);
+        let used = capacity.minus(&sum(|open| open.free));
+        used.share_of(&capacity) > BUSY_SHARE
+    }
+}
+
+/// A unit that does not fit now.
+struct BlockedUnit<'a> {
+    waiting: &'a WaitingUnit,
+    demand: &'a UnitDemand,
+    claim: RoomClaim,
+    job: usize,
+}
+
 /// Accelerators that a team's urgent jobs hold.
 struct TeamUse {
     team: ObjectName,
@@ -51,6 +85,8 @@
     pools: Vec<OpenPool>,
     /// Demands that found no room; equal ones of the round fail alike.
     hopeless: Vec<UnitDemand>,
+    /// Units, beside urgent ones, for which room is kept.
+    reserved: usize,
 }
 
 impl PoolOwner {
@@ -68,6 +104,7 @@
         let mut round = PlanRound {
             pools: Vec::new(),
             hopeless: Vec::new(),
+            reserved: 0,
         };
         for candidate in &candidates {
             self.place_candidate(candidate, &mut round);
@@ -84,8 +121,10 @@
                     == (shapes[*right].round, shapes[*right].step)
             };
             for units in ready.chunk_by(same_step) {
+                let waiting = self.waiting_unit(job, units[0], teams);
                 found.push(Candidate {
-                    key: order_key(&self.waiting_unit(job, units[0], teams)),
+                    key: order_key(&waiting),
+                    waiting,
                     job,
                     units: units.to_vec(),
                 });
@@ -103,11 +142,13 @@
             .accepted_ms
             .max(spec.due_ms(state.shapes[unit].round));
         let chain_ms = spec.chain_ms();
-        let due_ms = begun_ms + rule.allowed_ms(chain_ms).saturating_sub(chain_ms);
+        let allowed_ms = rule.allowed_ms(chain_ms);
+        let due_ms = begun_ms + allowed_ms.saturating_sub(chain_ms);
         WaitingUnit {
             priority: rule.priority,
             guaranteed: rule.priority == 0 && self.is_guaranteed(job, teams),
             slack_ms: due_ms as i64 - self.now.wall_ms as i64,
+            expired: begun_ms + EXPIRED_FACTOR * allowed_ms < self.now.wall_ms + chain_ms,
             work: spec.work(),
             begun: state.units.iter().any(|unit| unit.run > 0),
         }
@@ -180,13 +221,16 @@
                 capacity: report.capacity,
                 free: upstream.free(),
                 blame: upstream.blame,
-                reserved: upstream.reserved_ms > now_ms,
+                reserved: upstream
+                    .reserved
+                    .clone()
+                    .filter(|_| upstream.reserved_ms > now_ms),
             });
         }
         all
     }
 
-    fn demand(&self, job: usize, unit: usize, pool: &OpenPool, urgent: bool) -> UnitDemand {
+    fn demand(&self, job: usize, unit: usize, pool: &OpenPool) -> UnitDemand {
         let state = &self.jobs[job];
         let step = state.step(unit);
         let shape = state.shapes[unit];
@@ -194,7 +238,12 @@
             .now
             .steady_ms
             .saturating_sub(state.units[unit].since_ms);
-        let patient = waited_ms < NEAR_WAIT_MS;
+        let near_wait_ms = match pool.is_busy() {
+            // Slow work takes its room for longer as well.
+            true => (step.estimate_ms * (self.timing.far_factor - 1)).min(BUSY_NEAR_WAIT_MS),
+            false => IDLE_NEAR_WAIT_MS,
+        };
+        let patient = waited_ms < near_wait_ms.max(IDLE_NEAR_WAIT_MS);
         let failed_on = state.units[unit].failed_on.iter().rev();
         let mut demand = UnitDemand {
             count: shape.count as usize,
@@ -207,7 +256,6 @@
             spread_max: step.spread_max as usize,
             siblings: Vec::new(),
             avoid: failed_on.take(AVOID_MAX).cloned().collect(),
-            urgent,
         };
         if step.spread_max > 0 {
             demand.siblings = self.siblings(job, unit);
@@ -233,7 +281,7 @@
     fn place_candidate(&mut self, candidate: &Candidate, round: &mut PlanRound) {
         let job = candidate.job;
         let rule = self.rule(job);
-        let urgent = rule.priority == 0;
+        let priority = rule.priority;
         let name = rule.pool.clone();
         let index = match round.pools.iter().position(|pool| pool.name == name) {
             Some(index) => index,
@@ -244,20 +292,27 @@
         };
         for &unit in &candidate.units {
             let pool = &mut round.pools[index];
-            let demand = self.demand(job, unit, pool, urgent);
+            let demand = self.demand(job, unit, pool);
             if round.hopeless.contains(&demand) {
                 return;
             }
-            match place_unit(&demand, &pool.open) {
-                Some(chosen) => self.assign(job, unit, pool, &chosen),
-                None => {
-                    if urgent {
-                        self.make_room(job, unit, pool, &demand);
-                    }
-                    round.hopeless.push(demand);
-                    return;
-                }
-            }
+            let claim = RoomClaim {
+                job: self.jobs[job].id.clone(),
+                unit,
+                priority,
+            };
+            let Some(chosen) = place_unit(&demand, &claim, &pool.open) else {
+                let blocked = BlockedUnit {
+                    waiting: &candidate.waiting,
+                    demand: &demand,
+                    claim,
+                    job,
+                };
+                self.claim_room(&blocked, pool, &mut round.reserved);
+                round.hopeless.push(demand);
+                return;
+            };
+            self.assign(job, unit, pool, &chosen);
         }
     }
 
@@ -271,7 +326,6 @@
         state.run += 1;
         state.resumed = state.saved.clone();
         state.since_ms = now_ms;
-        state.displaced = false;
         let run = state.run;
         log::info!(
             job = id.as_str(), unit, run, tasks = chosen.len(), waited_ms,
@@ -286,8 +340,14 @@
                 member,
                 need,
             });
-            upstream.reserved_ms = 0;
-            pool.open[index].reserved = false;
+            let own = upstream
+                .reserved
+                .as_ref()
+                .is_some_and(|claim| claim.job == id);
+            if own {
+                upstream.reserved = None;
+                pool.open[index].reserved = None;
+            }
             pool.open[index].free = upstream.free();
             let place = MemberState {
                 phase: MemberPhase::Planned,
@@ -301,47 +361,82 @@
         self.jobs[job].drive_due = true;
     }
 
-    /// Displaces work that may wait, once for each urgent unit until its room has come.
-    fn make_room(&mut self, job: usize, unit: usize, pool: &mut OpenPool, demand: &UnitDemand) {
-        let mut relaxed = demand.clone();
-        relaxed.any_rack = true;
-        relaxed.may_spread = true;
-        let pending = self.leaving_room(pool);
-        if let Some(chosen) = place_unit(&relaxed, &pending) {
-            // What is being stopped will do; keep it.
-            self.reserve(pool, &chosen);
-            return;
+    /// Keeps room for a unit that does not fit now, and makes it where there is no time left.
+    fn claim_room(&mut self, blocked: &BlockedUnit, pool: &mut OpenPool, reserved: &mut usize) {
+        let waiting = blocked.waiting;
+        let urgent = waiting.priority == 0;
+        if !urgent {
+            if waiting.slack_ms < 0 || waiting.expired || *reserved >= RESERVED_UNITS_MAX {
+                return;
+            }
+            *reserved += 1;
         }
-        let running = self.running_victims(job, pool);
-        let victims: Vec<&VictimUnit> = running.iter().map(|one| &one.victim).collect();
-        let Some(chosen) = choose_victims(&relaxed, &pending, &victims) else {
+        // What is being stopped already may do.
+        let leaving = self.leaving_room(pool);
+        if let Some(chosen) = place_unit(blocked.demand, &blocked.claim, &leaving) {
+            self.reserve(blocked, pool, &chosen);
             return;
+        }
+        let hurry = match urgent {
+            true => waiting.guaranteed || waiting.slack_ms >= 0,
+            false => waiting.slack_ms < MAKE_ROOM_SLACK_MS,
         };
-        for index in chosen {
+        if hurry {
+            self.make_room(blocked, pool, &leaving);
+        } else {
+            let lower = self.room_without_lower(blocked.claim.priority, pool);
+            if let Some(chosen) = place_unit(blocked.demand, &blocked.claim, &lower) {
+                self.reserve(blocked, pool, &chosen);
+            }
+        }
+    }
+
+    /// Displaces work of less urgent queues.
+    fn make_room(&mut self, blocked: &BlockedUnit, pool: &mut OpenPool, leaving: &[OpenUpstream]) {
+        let running = self.running_victims(blocked.job, pool);
+        let victims: Vec<&VictimUnit> = running.iter().map(|one| &one.victim).collect();
+        let chosen = choose_victims(blocked.demand, &blocked.claim, leaving, &victims);
+        for index in chosen.unwrap_or_default() {
             let (other, other_unit) = (running[index].job, running[index].unit);
             log::info!(
                 job = self.jobs[other].id.as_str(), unit = other_unit,
-                for_job = self.jobs[job].id.as_str(), for_unit = unit;
-                "owner: a unit makes room for urgent work."
+                for_job = blocked.claim.job.as_str(), for_unit = blocked.claim.unit;
+                "owner: a unit makes room for more urgent work."
             );
-            self.jobs[other].units[other_unit].displaced = true;
+            self.jobs[other].units[other_unit].displaced += 1;
             self.stop_unit(other, other_unit);
         }
-        let pending = self.leaving_room(pool);
-        if let Some(chosen) = place_unit(&relaxed, &pending) {
-            self.reserve(pool, &chosen);
+        let leaving = self.leaving_room(pool);
+        if let Some(chosen) = place_unit(blocked.demand, &blocked.claim, &leaving) {
+            self.reserve(blocked, pool, &chosen);
         }
     }
 
     /// Returns the open upstreams as they will be once all that is being stopped is gone.
     fn leaving_room(&self, pool: &OpenPool) -> Vec<OpenUpstream> {
+        self.room_without(pool, |job, unit| {
+            self.jobs[job].units[unit].phase == UnitPhase::Stopping
+        })
+    }
+
+    /// Returns the open upstreams as they would be without less urgent work.
+    fn room_without_lower(&self, priority: u32, pool: &OpenPool) -> Vec<OpenUpstream> {
+        self.room_without(pool, |job, unit| {
+            let lasting = self.jobs[job].step(unit).lasting;
+            !lasting && self.rule(job).priority > priority
+        })
+    }
+
+    fn room_without(
+        &self,
+        pool: &OpenPool,
+        leaves: impl Fn(usize, usize) -> bool,
+    ) -> Vec<OpenUpstream> {
         let mut room = pool.open.clone();
         for (open, &row) in room.iter_mut().zip(&pool.rows) {
             for held in &self.upstreams[row].held {
-                let leaving = self.job_index(&held.job).is_some_and(|job| {
-                    self.jobs[job].units[held.unit].phase == UnitPhase::Stopping
-                });
-                if leaving {
+                let job = self.job_index(&held.job);
+                if job.is_some_and(|job| leaves(job, held.unit)) {
                     open.free = open.free.plus(&held.need);
                 }
             }
@@ -349,13 +444,13 @@
         room
     }
 
-    fn reserve(&mut self, pool: &mut OpenPool, chosen: &[usize]) {
+    fn reserve(&mut self, blocked: &BlockedUnit, pool: &mut OpenPool, chosen: &[usize]) {
         let until_ms = self.now.steady_ms + RESERVE_MS;
         for &index in chosen {
-            self.upstreams[pool.rows[index]].reserved_ms = until_ms;
-            pool.open[index].reserved = true;
-            // Other urgent units of this round look elsewhere.
-            pool.open[index].free = ResourceAmount::default();
+            let upstream = &mut self.upstreams[pool.rows[index]];
+            upstream.reserved = Some(blocked.claim.clone());
+            upstream.reserved_ms = until_ms;
+            pool.open[index].reserved = Some(blocked.claim.clone());
         }
     }
 
@@ -393,18 +488,20 @@
             return None;
         }
         let done_ms = match step.checkpoints {
-            true => 0,
+            true => CHECKPOINT_LOSS_MS,
             false => self
                 .now
                 .steady_ms
                 .saturating_sub(state.units[unit].since_ms),
         };
         let tasks = upstreams.len() as u64;
+        // Each earlier time counts again, so that none is displaced for ever.
+        let times = u64::from(state.units[unit].displaced) + 1;
         Some(RunningVictim {
             victim: VictimUnit {
                 upstreams,
                 need: step.need,
-                lost: done_ms * step.need.weight_milli() * tasks,
+                lost: done_ms * step.need.weight_milli() * tasks * times,
                 priority: self.rule(job).priority,
             },
             job,
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -5,6 +5,7 @@
 use crate::tables::name::ObjectName;
 use crate::work::amount::ResourceAmount;
 use crate::work::clock::ClockReading;
+use crate::work::place::RoomClaim;
 use crate::work::upstream::{OrderTarget, UpstreamReport};
 
 /// Bits of a fencing token that count an upstream's lives within a term.
@@ -68,7 +69,9 @@
     pub blame: f64,
     /// No new work before this time, steady ms.
     pub barred_ms: u64,
-    /// Room kept for a unit with a higher claim: until this time, steady ms.
+    /// For whom its room is kept.
+    pub reserved: Option<RoomClaim>,
+    /// Until when, steady ms.
     pub reserved_ms: u64,
 }
 
@@ -97,6 +100,7 @@
             looked: false,
             blame: 0.0,
             barred_ms: 0,
+            reserved: None,
             reserved_ms: 0,
         }
     }
--- a/src/work/place.rs
+++ b/src/work/place.rs
@@ -23,8 +23,28 @@
     pub free: ResourceAmount,
     /// Failures lately; fewer is better.
     pub blame: f64,
-    /// Whether its room is kept for urgent work.
-    pub reserved: bool,
+    /// For whom its room is kept.
+    pub reserved: Option<RoomClaim>,
+}
+
+/// Room kept for a unit. Units of more urgent queues may take it all the same.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RoomClaim {
+    /// The job.
+    pub job: ObjectName,
+    /// Unit of the job.
+    pub unit: usize,
+    /// Priority of its queue.
+    pub priority: u32,
+}
+
+impl OpenUpstream {
+    fn is_open_to(&self, claim: &RoomClaim) -> bool {
+        let Some(reserved) = &self.reserved else {
+            return true;
+        };
+        reserved == claim || reserved.priority > claim.priority
+    }
 }
 
 /// What a unit asks for.
@@ -50,45 +70,91 @@
     pub siblings: Vec<ObjectName>,
     /// Upstreams to avoid where another will do.
     pub avoid: Vec<ObjectName>,
-    /// Whether it may take room that is kept for urgent work.
-    pub urgent: bool,
 }
 
 /// Chooses an upstream for each task of a unit; none if they do not all fit. The result holds
 /// indexes into `open`.
-pub fn place_unit(demand: &UnitDemand, open: &[OpenUpstream]) -> Option<Vec<usize>> {
-    if let Some(rack) = &demand.data_rack {
-        let there = fill(demand, open, |upstream| {
-            upstream.rack.as_ref() == Some(rack)
-        });
-        if there.is_some() || !demand.any_rack {
-            return there;
+pub fn place_unit(
+    demand: &UnitDemand,
+    claim: &RoomClaim,
+    open: &[OpenUpstream],
+) -> Option<Vec<usize>> {
+    let search = PlaceSearch {
+        demand,
+        claim,
+        open,
+    };
+    search.place()
+}
+
+/// One search for places.
+struct PlaceSearch<'a> {
+    demand: &'a UnitDemand,
+    claim: &'a RoomClaim,
+    open: &'a [OpenUpstream],
+}
+
+impl PlaceSearch<'_> {
+    fn place(&self) -> Option<Vec<usize>> {
+        let demand = self.demand;
+        if let Some(rack) = &demand.data_rack {
+            let there = self.fill(|upstream| upstream.rack.as_ref() == Some(rack));
+            if there.is_some() || !demand.any_rack {
+                return there;
+            }
         }
+        if demand.same_rack && demand.count > 1 {
+            let there = self.fill_one_rack();
+            if there.is_some() || !demand.may_spread {
+                return there;
+            }
+        }
+        self.fill(|_| true)
+    }
+
+    /// The rack that is left with the least room, so that others stay whole.
+    fn fill_one_rack(&self) -> Option<Vec<usize>> {
+        let wanted = self.demand.count as u64;
+        let room = |upstream: &OpenUpstream| match self.suits(upstream) {
+            true => (room_on(self.demand, upstream) as u64).min(wanted),
+            false => 0,
+        };
+        let mut fitting = rack_rooms(self.open, room);
+        fitting.retain(|rack| rack.room >= wanted);
+        fitting.sort_by_key(|rack| rack.room);
+        fitting
+            .into_iter()
+            .find_map(|rack| self.fill(|upstream| upstream.rack.as_ref() == Some(rack.rack)))
     }
-    if demand.same_rack && demand.count > 1 {
-        let there = fill_one_rack(demand, open);
-        if there.is_some() || !demand.may_spread {
-            return there;
+
+    fn fill(&self, allowed: impl Fn(&OpenUpstream) -> bool) -> Option<Vec<usize>> {
+        let (demand, open) = (self.demand, self.open);
+        let suitable = (0..open.len())
+            .filter(|&index| self.suits(&open[index]))
+            .filter(|&index| allowed(&open[index]));
+        if demand.count == 1 {
+            let best = suitable.min_by_key(|&index| (place_key(demand, &open[index]), index));
+            return best.map(|index| vec![index]);
+        }
+        let mut order: Vec<usize> = suitable.collect();
+        order.sort_by_cached_key(|&index| (place_key(demand, &open[index]), index));
+        let mut chosen = Vec::with_capacity(demand.count);
+        for index in order {
+            let room = room_on(demand, &open[index]).min(demand.count - chosen.len());
+            chosen.extend(std::iter::repeat_n(index, room));
+            if chosen.len() == demand.count {
+                return Some(chosen);
+            }
         }
+        None
     }
-    fill(demand, open, |_| true)
-}
 
-/// The rack that is left with the least room, so that others stay whole.
-fn fill_one_rack(demand: &UnitDemand, open: &[OpenUpstream]) -> Option<Vec<usize>> {
-    let wanted = demand.count as u64;
-    let room = |upstream: &OpenUpstream| match suits(demand, upstream) {
-        true => (room_on(demand, upstream) as u64).min(wanted),
-        false => 0,
-    };
-    let mut fitting = rack_rooms(open, room);
-    fitting.retain(|rack| rack.room >= wanted);
-    fitting.sort_by_key(|rack| rack.room);
-    fitting.into_iter().find_map(|rack| {
-        fill(demand, open, |upstream| {
-            upstream.rack.as_ref() == Some(rack.rack)
-        })
-    })
+    fn suits(&self, upstream: &OpenUpstream) -> bool {
+        let label = self.demand.label.as_ref();
+        label.is_none_or(|label| upstream.labels.contains(label))
+            && upstream.is_open_to(self.claim)
+            && room_on(self.demand, upstream) > 0
+    }
 }
 
 /// How good a place is; smaller is better.
@@ -97,30 +163,6 @@
 /// Parts of a failure that blame is counted in when places are compared.
 const BLAME_PARTS: f64 = 4.0;
 
-fn fill(
-    demand: &UnitDemand,
-    open: &[OpenUpstream],
-    allowed: impl Fn(&OpenUpstream) -> bool,
-) -> Option<Vec<usize>> {
-    let suitable = (0..open.len()).filter(|&index| suits(demand, &open[index]));
-    let suitable = suitable.filter(|&index| allowed(&open[index]));
-    if demand.count == 1 {
-        let best = suitable.min_by_key(|&index| (place_key(demand, &open[index]), index));
-        return best.map(|index| vec![index]);
-    }
-    let mut order: Vec<usize> = suitable.collect();
-    order.sort_by_cached_key(|&index| (place_key(demand, &open[index]), index));
-    let mut chosen = Vec::with_capacity(demand.count);
-    for index in order {
-        let room = room_on(demand, &open[index]).min(demand.count - chosen.len());
-        chosen.extend(std::iter::repeat_n(index, room));
-        if chosen.len() == demand.count {
-            return Some(chosen);
-        }
-    }
-    None
-}
-
 /// Upstreams without failures first, then those with the least room, so that whole ones stay
 /// free.
 fn place_key(demand: &UnitDemand, upstream: &OpenUpstream) -> PlaceKey {
@@ -129,14 +171,6 @@
     (avoided, blame, upstream.free.share_of(&upstream.capacity))
 }
 
-fn suits(demand: &UnitDemand, upstream: &OpenUpstream) -> bool {
-    let labelled = demand
-        .label
-        .as_ref()
-        .is_none_or(|label| upstream.labels.contains(label));
-    labelled && (demand.urgent || !upstream.reserved) && room_on(demand, upstream) > 0
-}
-
 /// Returns whether some rack could hold the whole unit if it were empty.
 pub fn fits_a_rack(demand: &UnitDemand, open: &[OpenUpstream]) -> bool {
     let wanted = demand.count as u64;
