Make room for urgent gangs place by place, where the least is thrown away

Now each upstream offers places at the cost of the work thrown away there, and the cheapest within one allowed rack are taken.

--- a/src/work/displace.rs
+++ b/src/work/displace.rs
@@ -1,10 +1,12 @@
 //! Which running work makes room for a higher claim.
 //!
-//! Answers this pattern: urgent work arrives while the pool is full of work that may wait.
-//! Whole units are displaced, those that lose least first, and only as many as are needed.
+//! Answers this pattern: urgent gangs arrive while the pool is full of small work that may
+//! wait. Room is made place by place, on the upstreams where the least work is thrown away,
+//! within one rack where the gang wants that; only whole units are displaced.
 
+use crate::tables::name::ObjectName;
 use crate::work::amount::ResourceAmount;
-use crate::work::place::{OpenUpstream, RoomClaim, UnitDemand, place_unit};
+use crate::work::place::{OpenUpstream, RoomClaim, UnitDemand, rooms_allowed};
 
 /// A unit that may be displaced.
 #[derive(Clone, Debug)]
@@ -19,6 +21,14 @@
     pub priority: u32,
 }
 
+/// Room for one task, made by displacing units.
+struct MadePlace {
+    upstream: usize,
+    /// Work thrown away, beyond what earlier places of the upstream throw away.
+    cost: u64,
+    victims: Vec<usize>,
+}
+
 /// Chooses victims so that the unit fits, as indexes into `victims`; none if it cannot.
 pub fn choose_victims(
     demand: &UnitDemand,
@@ -26,53 +36,106 @@
     open: &[OpenUpstream],
     victims: &[&VictimUnit],
 ) -> Option<Vec<usize>> {
+    let by_upstream = sort_by_upstream(open.len(), victims);
+    let mut places: Vec<MadePlace> = Vec::new();
+    for (index, upstream) in open.iter().enumerate() {
+        let most = rooms_allowed(demand, claim, upstream);
+        places.extend(make_places(
+            demand,
+            open,
+            victims,
+            index,
+            &by_upstream[index],
+            most,
+        ));
+    }
+    // Stable: places of one upstream stay in the order in which they are made.
+    places.sort_by_key(|place| place.cost);
+    let racks = allowed_racks(demand, open);
+    let choices = racks.iter().filter_map(|rack| {
+        let inside = |place: &&MadePlace| rack.is_none() || open[place.upstream].rack == *rack;
+        let chosen: Vec<&MadePlace> = places.iter().filter(inside).take(demand.count).collect();
+        let cost: u64 = chosen.iter().map(|place| place.cost).sum();
+        (chosen.len() == demand.count).then_some((cost, chosen))
+    });
+    let (_, chosen) = choices.min_by_key(|(cost, _)| *cost)?;
+    let mut all: Vec<usize> = chosen
+        .iter()
+        .flat_map(|place| place.victims.iter().copied())
+        .collect();
+    all.sort_unstable();
+    all.dedup();
+    Some(all)
+}
+
+/// For each upstream the victims on it: the least urgent first, then those that lose least.
+fn sort_by_upstream(upstreams: usize, victims: &[&VictimUnit]) -> Vec<Vec<usize>> {
+    let mut sorted = vec![Vec::new(); upstreams];
     let mut order: Vec<usize> = (0..victims.len()).collect();
-    // Least important first, then what loses least for the room that it frees.
     order.sort_by_key(|&index| {
         let victim = victims[index];
-        let freed = victim.need.weight_milli() * victim.upstreams.len() as u64;
-        (
-            std::cmp::Reverse(victim.priority),
-            victim.lost / freed.max(1),
-            victim.upstreams.len(),
-        )
+        (std::cmp::Reverse(victim.priority), victim.lost)
     });
-    let mut room = open.to_vec();
-    let mut chosen = Vec::new();
     for index in order {
-        free_room(&mut room, victims[index]);
-        chosen.push(index);
-        if place_unit(demand, claim, &room).is_some() {
-            return Some(spare_needless(demand, claim, open, victims, chosen));
+        for &upstream in &victims[index].upstreams {
+            if sorted[upstream].last() != Some(&index) {
+                sorted[upstream].push(index);
+            }
         }
     }
-    None
-}
-
-fn free_room(room: &mut [OpenUpstream], victim: &VictimUnit) {
-    for &upstream in &victim.upstreams {
-        room[upstream].free = room[upstream].free.plus(&victim.need);
-    }
+    sorted
 }
 
-/// Takes back victims without whom the unit fits as well, the costliest first.
-fn spare_needless(
+/// Makes up to `most` places on one upstream, one after the other.
+fn make_places(
     demand: &UnitDemand,
-    claim: &RoomClaim,
     open: &[OpenUpstream],
     victims: &[&VictimUnit],
-    mut chosen: Vec<usize>,
-) -> Vec<usize> {
-    for position in (0..chosen.len()).rev() {
-        let mut room = open.to_vec();
-        for (other, &index) in chosen.iter().enumerate() {
-            if other != position {
-                free_room(&mut room, victims[index]);
+    index: usize,
+    own: &[usize],
+    most: usize,
+) -> Vec<MadePlace> {
+    let mut free = open[index].free;
+    let mut next = own.iter();
+    let mut places = Vec::new();
+    while places.len() < most.min(demand.count) {
+        let mut place = MadePlace {
+            upstream: index,
+            cost: 0,
+            victims: Vec::new(),
+        };
+        while !free.holds(&demand.need) {
+            let Some(&victim) = next.next() else {
+                return places;
+            };
+            let unit = victims[victim];
+            let tasks = unit.upstreams.iter().filter(|&&at| at == index).count();
+            for _ in 0..tasks {
+                free = free.plus(&unit.need);
             }
+            place.cost += unit.lost;
+            place.victims.push(victim);
         }
-        if place_unit(demand, claim, &room).is_some() {
-            chosen.remove(position);
-        }
+        free = free.minus(&demand.need);
+        places.push(place);
+    }
+    places
+}
+
+/// Racks that the whole unit may be in; a place without a rack stands for all of them.
+fn allowed_racks(demand: &UnitDemand, open: &[OpenUpstream]) -> Vec<Option<ObjectName>> {
+    if let Some(rack) = &demand.data_rack
+        && !demand.any_rack
+    {
+        return vec![Some(rack.clone())];
+    }
+    if demand.same_rack && demand.count > 1 && !demand.may_spread {
+        let mut racks: Vec<Option<ObjectName>> =
+            open.iter().map(|upstream| upstream.rack.clone()).collect();
+        racks.sort_unstable();
+        racks.dedup();
+        racks.retain(Option::is_some);
+        return racks;
     }
-    chosen
+    vec![None]
 }
--- a/src/work/place.rs
+++ b/src/work/place.rs
@@ -87,6 +87,21 @@
     search.place()
 }
 
+/// Returns how many tasks of a unit may be on an upstream if all its room were free.
+pub fn rooms_allowed(demand: &UnitDemand, claim: &RoomClaim, upstream: &OpenUpstream) -> usize {
+    let label = demand.label.as_ref();
+    let labelled = label.is_none_or(|label| upstream.labels.contains(label));
+    let avoided = demand.avoid.contains(&upstream.name);
+    if !labelled || avoided || !upstream.is_open_to(claim) {
+        return 0;
+    }
+    let empty = OpenUpstream {
+        free: upstream.capacity,
+        ..upstream.clone()
+    };
+    room_on(demand, &empty)
+}
+
 /// One search for places.
 struct PlaceSearch<'a> {
     demand: &'a UnitDemand,
