--- a/src/wire/channel_pool.rs
+++ b/src/wire/channel_pool.rs
@@ -37,7 +37,7 @@
     pub method: Method,
     /// Path and query.
     pub path: String,
-    /// Headers beside `Host`.
+    /// Headers; `Host` is the address unless it stands here.
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
@@ -65,7 +65,7 @@
         let host = HeaderValue::try_from(self.address.to_string())
             .map_err(|error| bad(error.to_string()))?;
         *request.headers_mut() = self.headers.clone();
-        request.headers_mut().insert(HOST, host);
+        request.headers_mut().entry(HOST).or_insert(host);
         Ok(request)
     }
 }
--- a/src/work/relay.rs
+++ b/src/work/relay.rs
@@ -108,14 +108,20 @@
 
 impl<S: StorePort> StorePort for RelayStore<S> {
     async fn call(&self, call: &StoreCall, limit: Duration) -> Result<StoreReply, StoreFailure> {
-        let mut before = StoreFailure::NotDone("not tried directly".to_owned());
-        if !self.is_turned_away() {
-            match self.call_direct(call, limit).await {
-                Err(failure) if failure.is_transient() => before = failure,
-                other => return other,
-            }
-        }
-        match self.call_peers(call).await {
+        let directly_first = !self.is_turned_away();
+        let first = match directly_first {
+            true => self.call_direct(call, limit).await,
+            false => self.call_peers(call).await,
+        };
+        let before = match first {
+            Err(failure) if failure.is_transient() => failure,
+            other => return other,
+        };
+        let second = match directly_first {
+            true => self.call_peers(call).await,
+            false => self.call_direct(call, limit).await,
+        };
+        match second {
             Err(failure) if failure.is_transient() => Err(worse(before, failure)),
             // The stream may have moved on by the call itself.
             Err(StoreFailure::Conflict) if matches!(before, StoreFailure::Unknown(_)) => {
