--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -360,7 +360,8 @@
             let known = state.phase == MemberPhase::Running || stopping;
             let settled = known && !state.start_unsure && !state.in_flight;
             let newer = state.confirmed_ms != 0 && reply.clock_ms > state.confirmed_ms;
-            if !earlier_life && !(settled && newer) {
+            let gone = earlier_life || (settled && newer);
+            if !gone {
                 continue;
             }
             let run = unit.run;
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -308,7 +308,7 @@
     }
 
     fn tell_reports(&mut self) {
-        if self.now_ms % 500 != 0 {
+        if !self.now_ms.is_multiple_of(500) {
             return;
         }
         let reports = self.reports();
