Learn the pace of upstreams; test each decision; metrics, schema, smaller files

Load: urgent gangs with 0.5 of their length as slack on upstreams of which a third takes 1.3 times as long: a gang of three is slowed in 70 of 100 cases. Now progress against siblings of a step tells an upstream's pace; urgent work goes to fast ones, batch work to slow ones. Packing counts all resources, since the largest free share is that of whatever nobody uses (test of places failed first); the median of siblings, as one lame upstream hid the others (test failed first).

--- a/src/work/amount.rs
+++ b/src/work/amount.rs
@@ -64,4 +64,12 @@
             .max(share(self.memory_mb, whole.memory_mb))
             .max(share(self.accelerators, whole.accelerators))
     }
+
+    /// Returns the sum of the shares of `whole` that this amount takes, in thousandths.
+    pub fn shares_of(&self, whole: &Self) -> u64 {
+        let share = |part: u64, all: u64| (part * MILLI).checked_div(all).unwrap_or(0);
+        share(self.cpu_milli, whole.cpu_milli)
+            + share(self.memory_mb, whole.memory_mb)
+            + share(self.accelerators, whole.accelerators)
+    }
 }
--- a/src/work/config_board.rs
+++ b/src/work/config_board.rs
@@ -29,6 +29,7 @@
                 version = config.version, routes = config.routes.len(), teams = config.teams.len();
                 "config: a version is in force."
             );
+            metrics::gauge!("hemlockramp_config_version").set(config.version as f64);
             *current = Some(Rc::new(config));
         }
         newer
--- a/src/work/desk.rs
+++ b/src/work/desk.rs
@@ -169,9 +169,13 @@
             spec,
         };
         let entry = KeyedValue::from(&WorkFact::Job(id.clone(), Box::new(fact)));
+        let begun_ms = steady_ms();
         let result = self.store(entry, pass.limit_ms).await;
+        let took_ms = steady_ms() - begun_ms;
+        metrics::histogram!("hemlockramp_submit_seconds").record(took_ms as f64 / 1_000.0);
+        count_outcome(&result);
         log::info!(
-            job = id.as_str(), queue = pass.queue.as_str(),
+            job = id.as_str(), took_ms, queue = pass.queue.as_str(),
             config_age_ms = self.age_ms(), outcome:? = result;
             "desk: a job was handed in."
         );
@@ -261,6 +265,15 @@
     }
 }
 
+fn count_outcome(result: &Result<(), DeskRefusal>) {
+    let outcome = match result {
+        Ok(()) => "accepted",
+        Err(DeskRefusal::Unsure) => "unsure",
+        Err(_) => "refused",
+    };
+    metrics::counter!("hemlockramp_submits_total", "outcome" => outcome).increment(1);
+}
+
 fn pass(config: &WorkConfig, head: &CallHead) -> Result<CallPass, DeskRefusal> {
     let route: &RouteRow = config
         .route(&head.host, &head.path)
--- a/src/work/mod.rs
+++ b/src/work/mod.rs
@@ -4,6 +4,7 @@
 //! jobs; one host at a time owns the pool, places tasks and drives the upstreams.
 
 pub mod amount;
+mod claim;
 pub mod clock;
 pub mod config;
 pub mod config_board;
@@ -17,6 +18,7 @@
 pub mod order;
 pub mod owner;
 pub mod owner_loop;
+pub mod pace;
 pub mod peers;
 pub mod place;
 pub mod ports;
--- a/src/work/owner/job_state.rs
+++ b/src/work/owner/job_state.rs
@@ -5,6 +5,7 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::fact::{JobFact, JobPhase, PlaceFact, RunFact, UnitFact};
+use crate::work::pace::TaskProgress;
 use crate::work::spec::StepSpec;
 use crate::work::task_ref::TaskRef;
 
@@ -68,8 +69,10 @@
     pub start_unsure: bool,
     /// Last progress reported, in hundredths.
     pub percent: u32,
-    /// When the progress last rose, steady ms.
-    pub moved_ms: u64,
+    /// When the run was confirmed, steady ms.
+    pub began_ms: u64,
+    /// When the progress was last reported, steady ms.
+    pub looked_ms: u64,
 }
 
 /// A unit's state.
@@ -102,13 +105,14 @@
         self.members.iter().all(over)
     }
 
-    /// Returns the lowest progress of its members, in hundredths.
-    pub fn percent(&self) -> u32 {
-        self.members
-            .iter()
-            .map(|member| member.percent)
-            .min()
-            .unwrap_or(0)
+    /// Returns how far its first task is; none if it does not run from its beginning.
+    pub fn progress(&self) -> Option<TaskProgress> {
+        let member = self.members.first()?;
+        let tells = member.phase == MemberPhase::Running && self.resumed.is_empty();
+        tells.then(|| TaskProgress {
+            percent: member.percent,
+            elapsed_ms: member.looked_ms.saturating_sub(member.began_ms),
+        })
     }
 }
 
@@ -240,6 +244,21 @@
             .collect()
     }
 
+    /// Returns how far the running single tasks of a unit's step are, the unit's own among
+    /// them; none for gangs, whose members keep step, and for runs that went on from a
+    /// checkpoint.
+    pub fn step_progress(&self, unit: usize) -> Vec<TaskProgress> {
+        let shape = self.shapes[unit];
+        let alike = |index: &usize| {
+            let other = self.shapes[*index];
+            (other.round, other.step, other.count) == (shape.round, shape.step, 1)
+        };
+        (0..self.units.len())
+            .filter(alike)
+            .filter_map(|index| self.units[index].progress())
+            .collect()
+    }
+
     /// Returns whether all units are done.
     pub fn is_done(&self) -> bool {
         self.units.iter().all(|unit| unit.phase == UnitPhase::Done)
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -8,6 +8,7 @@
 use crate::work::owner::PoolOwner;
 use crate::work::owner::job_state::{MemberPhase, MemberState, UnitPhase};
 use crate::work::owner::upstream_state::HeldTask;
+use crate::work::pace::PaceWish;
 use crate::work::place::{OpenUpstream, RoomClaim, UnitDemand, fits_a_rack, place_unit};
 
 /// How long a unit waits for room near its data or in one rack while half of the pool is idle,
@@ -100,6 +101,8 @@
     pub(super) fn plan(&mut self) {
         let teams = self.team_use();
         let mut candidates = self.candidates(&teams);
+        metrics::gauge!("hemlockramp_steps_waiting").set(candidates.len() as f64);
+        metrics::gauge!("hemlockramp_jobs_open").set(self.jobs.len() as f64);
         candidates.sort_by_key(|candidate| (candidate.key, candidate.job));
         let mut round = PlanRound {
             pools: Vec::new(),
@@ -221,6 +224,7 @@
                 capacity: report.capacity,
                 free: upstream.free(),
                 blame: upstream.blame,
+                pace: upstream.pace,
                 reserved: upstream
                     .reserved
                     .clone()
@@ -256,6 +260,11 @@
             spread_max: step.spread_max as usize,
             siblings: Vec::new(),
             avoid: failed_on.take(AVOID_MAX).cloned().collect(),
+            pace: match self.rule(job).priority {
+                0 => PaceWish::Fast,
+                1 => PaceWish::Any,
+                _ => PaceWish::Slow,
+            },
         };
         if step.spread_max > 0 {
             demand.siblings = self.siblings(job, unit);
@@ -332,6 +341,7 @@
             upstream = pool.open[chosen[0]].name.as_str(), config = self.config.version;
             "owner: a unit is placed."
         );
+        metrics::histogram!("hemlockramp_wait_seconds").record(waited_ms as f64 / 1_000.0);
         for (member, &index) in chosen.iter().enumerate() {
             let upstream = &mut self.upstreams[pool.rows[index]];
             upstream.hold(HeldTask {
@@ -403,6 +413,7 @@
                 for_job = blocked.claim.job.as_str(), for_unit = blocked.claim.unit;
                 "owner: a unit makes room for more urgent work."
             );
+            metrics::counter!("hemlockramp_displaced_total").increment(1);
             self.jobs[other].units[other_unit].displaced += 1;
             self.stop_unit(other, other_unit);
         }
--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -48,7 +48,7 @@
                 state.phase = MemberPhase::Running;
                 state.start_unsure = false;
                 state.confirmed_ms = clock_ms;
-                state.moved_ms = now_ms;
+                state.began_ms = now_ms;
                 if !self.jobs[job].phase.is_over() {
                     self.set_phase(job, JobPhase::Running);
                 }
@@ -169,6 +169,7 @@
             );
         }
         upstream.silent_count += 1;
+        metrics::counter!("hemlockramp_renewals_unanswered_total").increment(1);
         // What it was told of recorded ends may not have arrived.
         upstream.told_end = 0;
         let gone = failure == OrderFailure::Refused
@@ -240,6 +241,8 @@
             job = end.task.job.as_str(), task:% = end.task, run = end.run,
             upstream = name.as_str(), how:? = end.kind; "owner: a run has ended."
         );
+        let how = end_label(end.kind);
+        metrics::counter!("hemlockramp_runs_ended_total", "how" => how).increment(1);
         let Some((job, unit, member)) = self.ordered((&end.task, end.run, name)) else {
             return;
         };
@@ -314,14 +317,27 @@
             state.start_unsure = false;
             state.born = born;
             state.confirmed_ms = reply.clock_ms;
-            if running.percent > state.percent || state.moved_ms == 0 {
-                state.percent = running.percent;
-                state.moved_ms = now_ms;
-            }
+            state.percent = running.percent;
+            state.looked_ms = now_ms;
+            let new_to_us = state.began_ms == 0;
             if state.phase == MemberPhase::Sent && !state.in_flight {
                 state.phase = MemberPhase::Running;
                 self.set_phase(job, JobPhase::Running);
             }
+            // An earlier owner knows when it began.
+            if !new_to_us {
+                self.learn_pace(name, job, unit);
+            }
+        }
+    }
+
+    fn learn_pace(&mut self, name: &ObjectName, job: usize, unit: usize) {
+        let Some(own) = self.jobs[job].units[unit].progress() else {
+            return;
+        };
+        let siblings = self.jobs[job].step_progress(unit);
+        if let Some(index) = self.upstream_index(name) {
+            self.upstreams[index].pace.learn(own, &siblings);
         }
     }
 
@@ -386,3 +402,14 @@
         (&self.task, self.run, &self.target.upstream)
     }
 }
+
+fn end_label(kind: EndKind) -> &'static str {
+    match kind {
+        EndKind::Done => "done",
+        EndKind::Failed => "failed",
+        EndKind::Stopped => "stopped",
+        EndKind::Lapsed => "lapsed",
+        EndKind::Broken => "broken",
+        EndKind::Alone => "alone",
+    }
+}
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -5,6 +5,7 @@
 use crate::tables::name::ObjectName;
 use crate::work::amount::ResourceAmount;
 use crate::work::clock::ClockReading;
+use crate::work::pace::UpstreamPace;
 use crate::work::place::RoomClaim;
 use crate::work::upstream::{OrderTarget, UpstreamReport};
 
@@ -67,6 +68,8 @@
     pub looked: bool,
     /// Runs that failed on it lately, less those that were done.
     pub blame: f64,
+    /// How fast it works.
+    pub pace: UpstreamPace,
     /// No new work before this time, steady ms.
     pub barred_ms: u64,
     /// For whom its room is kept.
@@ -99,6 +102,7 @@
             end_batch: None,
             looked: false,
             blame: 0.0,
+            pace: UpstreamPace::default(),
             barred_ms: 0,
             reserved: None,
             reserved_ms: 0,
--- a/src/work/owner_loop.rs
+++ b/src/work/owner_loop.rs
@@ -4,24 +4,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use eyre::{Report, ensure, eyre};
 use tokio::sync::Notify;
 
 use crate::tables::name::ObjectName;
-use crate::work::fact::{OwnerFact, RunFact, WorkFact, read_run_entry};
+use crate::work::claim::{claim, owner_fact, stamp};
+use crate::work::fact::WorkFact;
 use crate::work::follow::{StreamFollower, StreamSink};
 use crate::work::host_parts::{HostParts, host_time, steady_ms};
 use crate::work::owner::{PoolOwner, RowBatch, UpstreamOrder};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 use crate::work::stream::{
-    KeyedValue, StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord, WriterStamp,
+    KeyedValue, StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord,
 };
-use crate::work::succession::next_term;
 
-/// The writer's name of all owners; its epochs shut out earlier ones.
-const OWNER_WRITER: &str = "owner";
-/// Key in the stream of runs by which a new owner shuts out the one before.
-const FENCE_KEY: &str = "owner";
 /// Time between two looks at whether an owner is wanted, in ms.
 const WATCH_MS: u64 = 50;
 /// Longest time between two rounds of the owner's loop, in ms.
@@ -59,141 +54,6 @@
     }
 }
 
-/// Records the claim and shuts out the owner before; returns the term.
-async fn claim<S: StorePort, O: OrderPort, R: RecordReader>(
-    parts: &HostParts<S, O, R>,
-) -> Result<u64, Report> {
-    let failed = |failure: StoreFailure| eyre!("{failure}");
-    let before = parts.table.borrow().owner.clone();
-    parts.refresh_jobs().await.map_err(failed)?;
-    let current = parts.table.borrow().owner.clone();
-    ensure!(current == before, "the owner gave a sign of life");
-    let last = current.map_or(0, |row| row.fact.term);
-    let term = next_term(last, rand::random());
-    let fact = owner_fact(parts, term, false);
-    let call = StoreCall::Append {
-        stream: StreamName::Jobs,
-        entries: vec![KeyedValue::from(&WorkFact::Owner(fact))],
-        stamp: Some(stamp(term, 0)),
-        expected_end: Some(parts.position.get()),
-    };
-    let result = parts.call_store(&call).await;
-    parts.refresh_jobs().await.map_err(failed)?;
-    let owner = parts.table.borrow().owner.clone();
-    let mine = owner.is_some_and(|row| row.fact.term == term);
-    ensure!(mine, "another host was first: {result:?}");
-    let call = StoreCall::Append {
-        stream: StreamName::Runs,
-        entries: vec![KeyedValue {
-            key: FENCE_KEY.to_owned(),
-            value: term.to_be_bytes().to_vec(),
-        }],
-        stamp: Some(stamp(term, 0)),
-        expected_end: None,
-    };
-    parts.call_store(&call).await.map_err(failed)?;
-    let runs = list_runs(parts).await.map_err(failed)?;
-    let reports = list_all(parts, StreamName::Upstreams)
-        .await
-        .map_err(failed)?;
-    install_owner(parts, term, &runs, &reports)?;
-    Ok(term)
-}
-
-fn owner_fact<S, O, R>(parts: &HostParts<S, O, R>, term: u64, released: bool) -> OwnerFact {
-    OwnerFact {
-        host: parts.identity.name.clone(),
-        term,
-        released,
-    }
-}
-
-fn stamp(term: u64, sequence: u64) -> WriterStamp {
-    WriterStamp {
-        writer: OWNER_WRITER.to_owned(),
-        epoch: term,
-        sequence,
-    }
-}
-
-async fn list_all<S: StorePort, O, R>(
-    parts: &HostParts<S, O, R>,
-    stream: StreamName,
-) -> Result<Vec<StreamRecord>, StoreFailure> {
-    let mut records = Vec::new();
-    let mut after = None;
-    loop {
-        let reply = parts
-            .call_store(&StoreCall::Newest { stream, after })
-            .await?;
-        records.extend(reply.records);
-        after = records.last().map(|last| last.entry.key.clone());
-        if !reply.more {
-            return Ok(records);
-        }
-    }
-}
-
-/// A job's tasks as recorded.
-struct StoredRun {
-    job: ObjectName,
-    fact: RunFact,
-}
-
-/// Returns the recorded tasks, sorted by job. The stream no longer changes but by us.
-async fn list_runs<S: StorePort, O, R>(
-    parts: &HostParts<S, O, R>,
-) -> Result<Vec<StoredRun>, StoreFailure> {
-    let mut runs = Vec::new();
-    for record in list_all(parts, StreamName::Runs).await? {
-        if record.entry.key == FENCE_KEY || record.entry.value.is_empty() {
-            continue;
-        }
-        match read_run_entry(&record.entry) {
-            Ok((job, fact)) => runs.push(StoredRun { job, fact }),
-            Err(error) => log::error!("owner: recorded tasks cannot be read: {error}."),
-        }
-    }
-    runs.sort_by(|left, right| left.job.cmp(&right.job));
-    Ok(runs)
-}
-
-fn install_owner<S: StorePort, O, R: RecordReader>(
-    parts: &HostParts<S, O, R>,
-    term: u64,
-    runs: &[StoredRun],
-    reports: &[StreamRecord],
-) -> Result<(), Report> {
-    let config = parts
-        .board
-        .current()
-        .ok_or_else(|| eyre!("no configuration"))?;
-    let mut owner = PoolOwner::new(term, parts.identity.timing, config, host_time());
-    for record in reports {
-        if let Some(report) = parts.reader.upstream(&record.entry) {
-            owner.on_report(report);
-        }
-    }
-    for job in &parts.table.borrow().jobs {
-        let Some(fact) = &job.fact else { continue };
-        let stored = runs.binary_search_by(|run| run.job.cmp(&job.id)).ok();
-        let stored = stored.map(|index| &runs[index].fact);
-        // A job that is over is kept while something of it may still run.
-        if !job.phase.is_over() || stored.is_some() {
-            owner.add_job(&job.id, Rc::clone(fact), job.phase, stored);
-        }
-        if job.cancelled {
-            owner.cancel(&job.id);
-        }
-    }
-    log::info!(
-        term, jobs = owner.jobs().len(), upstreams = owner.upstreams().len();
-        "owner: this host owns the pool."
-    );
-    *parts.owner.borrow_mut() = Some(owner);
-    Ok(())
-}
-
 /// Appends of the owner to one stream, in order.
 struct OwnerWriter {
     stream: StreamName,
@@ -296,6 +156,7 @@
     }
 
     async fn run(self) {
+        metrics::gauge!("hemlockramp_owner").set(1.0);
         let sink = ReportSink {
             run: self.clone(),
             listing: None,
@@ -311,6 +172,7 @@
             }
             self.round();
         }
+        metrics::gauge!("hemlockramp_owner").set(0.0);
         self.job_wake.notify_one();
         *self.parts.owner.borrow_mut() = None;
     }
--- a/src/work/place.rs
+++ b/src/work/place.rs
@@ -7,6 +7,7 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::amount::ResourceAmount;
+use crate::work::pace::{PaceWish, UpstreamPace};
 
 /// An upstream that takes new work.
 #[derive(Clone, Debug)]
@@ -23,6 +24,8 @@
     pub free: ResourceAmount,
     /// Failures lately; fewer is better.
     pub blame: f64,
+    /// How fast it works.
+    pub pace: UpstreamPace,
     /// For whom its room is kept.
     pub reserved: Option<RoomClaim>,
 }
@@ -70,6 +73,8 @@
     pub siblings: Vec<ObjectName>,
     /// Upstreams to avoid where another will do.
     pub avoid: Vec<ObjectName>,
+    /// What it asks of an upstream's pace.
+    pub pace: PaceWish,
 }
 
 /// Chooses an upstream for each task of a unit; none if they do not all fit. The result holds
@@ -173,17 +178,23 @@
 }
 
 /// How good a place is; smaller is better.
-type PlaceKey = (bool, u64, u64);
+type PlaceKey = (bool, u64, u64, u64);
 
 /// Parts of a failure that blame is counted in when places are compared.
 const BLAME_PARTS: f64 = 4.0;
 
-/// Upstreams without failures first, then those with the least room, so that whole ones stay
-/// free.
+/// Upstreams without failures first, then those of the right pace, then those with the least
+/// room, so that whole ones stay free.
 fn place_key(demand: &UnitDemand, upstream: &OpenUpstream) -> PlaceKey {
     let avoided = demand.avoid.contains(&upstream.name);
     let blame = (upstream.blame * BLAME_PARTS) as u64;
-    (avoided, blame, upstream.free.share_of(&upstream.capacity))
+    let pace = upstream.pace.rank(demand.pace);
+    (
+        avoided,
+        blame,
+        pace,
+        upstream.free.shares_of(&upstream.capacity),
+    )
 }
 
 /// Returns whether some rack could hold the whole unit if it were empty.
--- a/src/work/relay.rs
+++ b/src/work/relay.rs
@@ -59,7 +59,10 @@
         call: &StoreCall,
         limit: Duration,
     ) -> Result<StoreReply, StoreFailure> {
+        let begun_ms = steady_ms();
         let result = self.direct.call(call, limit).await;
+        let took_ms = (steady_ms() - begun_ms).saturating_sub(call.wait_ms());
+        metrics::histogram!("hemlockramp_store_seconds").record(took_ms as f64 / 1_000.0);
         let failed = result.as_ref().is_err_and(StoreFailure::is_transient);
         if !failed {
             if self.failures.replace(0) >= DIRECT_FAILURES_MAX {
@@ -67,6 +70,7 @@
             }
             return result;
         }
+        metrics::counter!("hemlockramp_store_failures_total").increment(1);
         let failures = self.failures.get() + 1;
         self.failures.set(failures);
         self.rest_until_ms.set(steady_ms() + DIRECT_REST_MS);
--- /dev/null
+++ b/tests/work_decisions.rs
@@ -0,0 +1,377 @@
+//! The pure decisions, each against the load that it answers.
+
+use hemlockramp::tables::name::ObjectName;
+use hemlockramp::work::amount::ResourceAmount;
+use hemlockramp::work::displace::{VictimUnit, choose_victims};
+use hemlockramp::work::fact::OwnerFact;
+use hemlockramp::work::fact_table::OwnerRow;
+use hemlockramp::work::order::{WaitingUnit, order_key};
+use hemlockramp::work::pace::{PaceWish, TaskProgress, UpstreamPace};
+use hemlockramp::work::place::{OpenUpstream, RoomClaim, UnitDemand, place_unit};
+use hemlockramp::work::succession::{SuccessionWatch, next_term};
+use hemlockramp::work::task_ref::TaskRef;
+
+fn name(text: &str) -> ObjectName {
+    ObjectName::try_from(text).expect("a good name")
+}
+
+fn need(accelerators: u64) -> ResourceAmount {
+    ResourceAmount {
+        cpu_milli: 1_000,
+        memory_mb: 1_000,
+        accelerators,
+    }
+}
+
+fn room() -> ResourceAmount {
+    ResourceAmount {
+        cpu_milli: 64_000,
+        memory_mb: 128_000,
+        accelerators: 8,
+    }
+}
+
+/// Upstreams `u0..` in racks of `rack` each, with so many accelerators free.
+fn open(free: &[u64], rack: usize) -> Vec<OpenUpstream> {
+    let one = |(index, free): (usize, &u64)| OpenUpstream {
+        name: name(&format!("u{index}")),
+        rack: Some(name(&format!("r{}", index / rack))),
+        labels: vec![name("a")],
+        capacity: room(),
+        free: ResourceAmount {
+            accelerators: *free,
+            ..room()
+        },
+        blame: 0.0,
+        pace: UpstreamPace::default(),
+        reserved: None,
+    };
+    free.iter().enumerate().map(one).collect()
+}
+
+fn claim(job: &str, priority: u32) -> RoomClaim {
+    RoomClaim {
+        job: name(job),
+        unit: 0,
+        priority,
+    }
+}
+
+fn gang(count: usize, accelerators: u64) -> UnitDemand {
+    UnitDemand {
+        count,
+        need: need(accelerators),
+        same_rack: true,
+        ..UnitDemand::default()
+    }
+}
+
+struct PlaceCase {
+    what: &'static str,
+    demand: UnitDemand,
+    free: &'static [u64],
+    rack: usize,
+    chosen: Option<&'static [usize]>,
+}
+
+#[test]
+fn places_keep_whole_upstreams_and_racks_free() {
+    let single = |accelerators| UnitDemand {
+        count: 1,
+        ..gang(1, accelerators)
+    };
+    let cases = [
+        PlaceCase {
+            what: "a small task fills the fullest upstream that holds it",
+            demand: single(1),
+            free: &[8, 3, 0, 5],
+            rack: 2,
+            chosen: Some(&[1]),
+        },
+        PlaceCase {
+            what: "a gang goes into the rack that is left with the least room",
+            demand: gang(2, 4),
+            free: &[8, 8, 4, 4, 8, 0],
+            rack: 2,
+            chosen: Some(&[2, 3]),
+        },
+        PlaceCase {
+            what: "a gang waits for a rack rather than spread",
+            demand: gang(2, 8),
+            free: &[8, 0, 8, 0],
+            rack: 2,
+            chosen: None,
+        },
+        PlaceCase {
+            what: "a gang that has waited long enough spreads",
+            demand: UnitDemand {
+                may_spread: true,
+                ..gang(2, 8)
+            },
+            free: &[8, 0, 8, 0],
+            rack: 2,
+            chosen: Some(&[0, 2]),
+        },
+        PlaceCase {
+            what: "work waits for the rack with its data",
+            demand: UnitDemand {
+                data_rack: Some(name("r1")),
+                ..single(2)
+            },
+            free: &[8, 8, 1, 1],
+            rack: 2,
+            chosen: None,
+        },
+        PlaceCase {
+            what: "a step spreads over upstreams",
+            demand: UnitDemand {
+                spread_max: 1,
+                siblings: vec![name("u0")],
+                ..single(1)
+            },
+            free: &[2, 5],
+            rack: 2,
+            chosen: Some(&[1]),
+        },
+        PlaceCase {
+            what: "an upstream where it failed is taken last",
+            demand: UnitDemand {
+                avoid: vec![name("u0")],
+                ..single(1)
+            },
+            free: &[1, 8],
+            rack: 2,
+            chosen: Some(&[1]),
+        },
+        PlaceCase {
+            what: "an upstream without the label is not taken",
+            demand: UnitDemand {
+                label: Some(name("b")),
+                ..single(1)
+            },
+            free: &[8],
+            rack: 1,
+            chosen: None,
+        },
+    ];
+    for case in cases {
+        let open = open(case.free, case.rack);
+        let chosen = place_unit(&case.demand, &claim("j", 1), &open);
+        assert_eq!(chosen.as_deref(), case.chosen, "{}", case.what);
+    }
+}
+
+#[test]
+fn room_kept_for_a_unit_is_open_to_it_and_to_more_urgent_ones() {
+    let mut open = open(&[8], 1);
+    open[0].reserved = Some(claim("gang", 1));
+    let place = |job, priority| place_unit(&gang(1, 8), &claim(job, priority), &open);
+    assert_eq!(place("gang", 1), Some(vec![0]));
+    assert_eq!(place("urgent", 0), Some(vec![0]));
+    assert_eq!(place("other", 1), None, "another gang does not steal it");
+    assert_eq!(
+        place("batch", 2),
+        None,
+        "small work does not refill the hole"
+    );
+}
+
+fn victim(upstreams: &[usize], accelerators: u64, lost: u64, priority: u32) -> VictimUnit {
+    VictimUnit {
+        upstreams: upstreams.to_vec(),
+        need: need(accelerators),
+        lost,
+        priority,
+    }
+}
+
+struct DisplaceCase {
+    what: &'static str,
+    demand: UnitDemand,
+    victims: Vec<VictimUnit>,
+    chosen: Option<&'static [usize]>,
+}
+
+/// Load: a pool full of small work, and an urgent gang (seen: 48 units displaced for one).
+#[test]
+fn room_is_made_where_the_least_work_is_thrown_away() {
+    let cases = [
+        DisplaceCase {
+            what: "the upstream whose work has just begun",
+            demand: gang(1, 8),
+            victims: vec![
+                victim(&[0], 4, 900, 2),
+                victim(&[0], 4, 10, 2),
+                victim(&[1], 4, 100, 2),
+                victim(&[1], 4, 120, 2),
+            ],
+            chosen: Some(&[2, 3]),
+        },
+        DisplaceCase {
+            what: "no more than is needed",
+            demand: gang(1, 4),
+            victims: vec![victim(&[0], 4, 50, 2), victim(&[0], 4, 60, 2)],
+            chosen: Some(&[0]),
+        },
+        DisplaceCase {
+            what: "both places in one rack",
+            demand: gang(2, 8),
+            victims: vec![
+                victim(&[0], 8, 1, 2),
+                victim(&[1], 8, 500, 2),
+                victim(&[2], 8, 100, 2),
+                victim(&[3], 8, 100, 2),
+            ],
+            chosen: Some(&[2, 3]),
+        },
+        DisplaceCase {
+            what: "a unit on both upstreams goes once",
+            demand: gang(2, 8),
+            victims: vec![victim(&[0, 1], 8, 100, 1)],
+            chosen: Some(&[0]),
+        },
+        DisplaceCase {
+            what: "nothing where it cannot help",
+            demand: gang(2, 8),
+            victims: vec![victim(&[0], 8, 100, 2), victim(&[2], 8, 100, 2)],
+            chosen: None,
+        },
+    ];
+    for case in cases {
+        let open = open(&[0, 0, 0, 0], 2);
+        let victims: Vec<&VictimUnit> = case.victims.iter().collect();
+        let chosen = choose_victims(&case.demand, &claim("j", 0), &open, &victims);
+        assert_eq!(chosen.as_deref(), case.chosen, "{}", case.what);
+    }
+}
+
+#[test]
+fn the_order_puts_urgent_work_first_and_lost_causes_last() {
+    let plain = WaitingUnit {
+        priority: 1,
+        guaranteed: false,
+        slack_ms: 5_000,
+        expired: false,
+        work: 1_000_000_000,
+        begun: false,
+    };
+    let order = [
+        WaitingUnit {
+            priority: 0,
+            guaranteed: true,
+            slack_ms: -10,
+            ..plain.clone()
+        },
+        WaitingUnit {
+            priority: 0,
+            ..plain.clone()
+        },
+        WaitingUnit {
+            work: 1_000_000,
+            ..plain.clone()
+        },
+        plain.clone(),
+        WaitingUnit {
+            slack_ms: -1,
+            ..plain.clone()
+        },
+        WaitingUnit {
+            priority: 2,
+            ..plain.clone()
+        },
+        WaitingUnit {
+            priority: 0,
+            expired: true,
+            ..plain.clone()
+        },
+    ];
+    assert!(order.is_sorted_by_key(order_key), "{order:#?}");
+}
+
+/// Load: a third of the upstreams takes 1.3 times as long, one ten times.
+#[test]
+fn the_pace_of_upstreams_is_learned_from_siblings() {
+    let mut paces = [UpstreamPace::default(); 6];
+    let slower = [1.0, 1.0, 1.3, 1.0, 1.0, 10.0];
+    for round in 1..12_u64 {
+        let elapsed_ms = 1_000 * round;
+        let siblings: Vec<TaskProgress> = slower
+            .iter()
+            .map(|factor| TaskProgress {
+                percent: (elapsed_ms as f64 / 100.0 / factor) as u32,
+                elapsed_ms,
+            })
+            .collect();
+        for (pace, task) in paces.iter_mut().zip(&siblings) {
+            pace.learn(*task, &siblings);
+        }
+    }
+    let rank = |index: usize, wish| paces[index].rank(wish);
+    assert!(rank(0, PaceWish::Fast) < rank(2, PaceWish::Fast));
+    assert!(rank(2, PaceWish::Slow) < rank(0, PaceWish::Slow));
+    assert_eq!(rank(0, PaceWish::Any), rank(2, PaceWish::Any));
+    for wish in [PaceWish::Fast, PaceWish::Any, PaceWish::Slow] {
+        assert!(
+            (0..5).all(|index| rank(index, wish) < rank(5, wish)),
+            "{wish:?}"
+        );
+    }
+}
+
+fn owner(host: &str, released: bool) -> OwnerRow {
+    OwnerRow {
+        fact: OwnerFact {
+            host: name(host),
+            term: 1,
+            released,
+        },
+        offset: 0,
+    }
+}
+
+#[test]
+fn a_silent_owner_is_replaced_but_a_silent_store_deposes_nobody() {
+    let mut watch = SuccessionWatch::new(name("a"), 0.0);
+    let other = owner("b", false);
+    assert!(!watch.is_due(None), "the store has not answered yet");
+    watch.store_answered(0);
+    assert!(watch.is_due(None));
+    assert!(watch.is_due(Some(&owner("b", true))), "given up");
+    assert!(!watch.is_due(Some(&other)));
+    for now_ms in (0..1_300).step_by(100) {
+        watch.store_answered(now_ms);
+    }
+    assert!(!watch.is_due(Some(&other)));
+    // The store is away for ten seconds: that is no silence of the owner.
+    watch.store_answered(11_200);
+    assert!(!watch.is_due(Some(&other)));
+    for now_ms in (11_200..11_600).step_by(100) {
+        watch.store_answered(now_ms);
+    }
+    assert!(watch.is_due(Some(&other)));
+    watch.owner_heard();
+    assert!(!watch.is_due(Some(&other)));
+}
+
+#[test]
+fn terms_rise_and_rivals_differ() {
+    let first = next_term(0, 7);
+    assert!(next_term(first, 0) > first);
+    assert_ne!(next_term(first, 1), next_term(first, 2));
+}
+
+#[test]
+fn names_of_tasks_are_read_back() {
+    let task = TaskRef {
+        job: name("5c0e7a21d94b36f8"),
+        round: 0,
+        step: 1,
+        index: 17,
+    };
+    let text = task.to_string();
+    assert_eq!(text, "5c0e7a21d94b36f8.0.1.17");
+    assert_eq!(TaskRef::try_from(text.as_str()).expect("a task"), task);
+    for bad in ["", "a", "a.1.2", "a.x.1.2", "a.1.2.-3"] {
+        assert!(TaskRef::try_from(bad).is_err(), "{bad:?}");
+    }
+}
