--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -19,7 +19,7 @@
 /// Longest such wait of a unit inside its team's guarantee, in ms: it is owed a start.
 const GUARANTEED_NEAR_WAIT_MS: u64 = 800;
 /// Guaranteed units for which room is sought in one round.
-const GUARANTEED_UNITS_MAX: usize = 12;
+const GUARANTEED_UNITS_MAX: usize = 6;
 /// How long room is kept for a unit before it is looked at again, in ms.
 const RESERVE_MS: u64 = 600;
 /// Waiting units, beside urgent ones, for which room is kept.
@@ -389,6 +389,15 @@
     fn claim_room(&mut self, blocked: &BlockedUnit, pool: &mut OpenPool, reserved: &mut usize) {
         let waiting = blocked.waiting;
         let urgent = waiting.priority == 0;
+        // What is kept for it is on its way; it is looked at again once that is over.
+        let kept = pool
+            .open
+            .iter()
+            .any(|open| open.reserved.as_ref() == Some(&blocked.claim));
+        if kept {
+            *reserved += usize::from(!urgent);
+            return;
+        }
         if !urgent {
             if waiting.slack_ms < 0 || waiting.expired || *reserved >= RESERVED_UNITS_MAX {
                 return;
--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -19,6 +19,8 @@
 const BLAME_BAR: f64 = 2.0;
 /// How long it gets none, in ms.
 const BAR_MS: u64 = 8_000;
+/// Shortest time between two samples of an upstream's pace, in ms.
+const LEARN_PAUSE_MS: u64 = 500;
 /// Factor of an upstream's blame with each run that is done.
 const BLAME_DECAY: f64 = 0.3;
 /// How long an upstream that says that it is unwell gets no new work, in ms.
@@ -335,10 +337,16 @@
         let Some(own) = self.jobs[job].units[unit].progress() else {
             return;
         };
-        let siblings = self.jobs[job].step_progress(unit);
-        if let Some(index) = self.upstream_index(name) {
-            self.upstreams[index].pace.learn(own, &siblings);
+        let now_ms = self.now.steady_ms;
+        let Some(index) = self.upstream_index(name) else {
+            return;
+        };
+        if self.upstreams[index].learn_ms > now_ms {
+            return;
         }
+        self.upstreams[index].learn_ms = now_ms + LEARN_PAUSE_MS;
+        let siblings = self.jobs[job].step_progress(unit);
+        self.upstreams[index].pace.learn(own, &siblings);
     }
 
     /// Stops a run that nobody wants, such as one that started late.
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -70,6 +70,8 @@
     pub blame: f64,
     /// How fast it works.
     pub pace: UpstreamPace,
+    /// Next time when a sample of its pace is taken, steady ms.
+    pub learn_ms: u64,
     /// No new work before this time, steady ms.
     pub barred_ms: u64,
     /// For whom its room is kept.
@@ -103,6 +105,7 @@
             looked: false,
             blame: 0.0,
             pace: UpstreamPace::default(),
+            learn_ms: 0,
             barred_ms: 0,
             reserved: None,
             reserved_ms: 0,
