--- a/src/work/amount.rs
+++ b/src/work/amount.rs
@@ -59,17 +59,20 @@
 
     /// Returns the largest share of `whole` that this amount takes, in thousandths.
     pub fn share_of(&self, whole: &Self) -> u64 {
-        let share = |part: u64, all: u64| (part * MILLI).checked_div(all).unwrap_or(0);
-        share(self.cpu_milli, whole.cpu_milli)
-            .max(share(self.memory_mb, whole.memory_mb))
-            .max(share(self.accelerators, whole.accelerators))
+        self.each_share(whole).into_iter().fold(0, u64::max)
     }
 
     /// Returns the sum of the shares of `whole` that this amount takes, in thousandths.
     pub fn shares_of(&self, whole: &Self) -> u64 {
+        self.each_share(whole).into_iter().sum()
+    }
+
+    fn each_share(&self, whole: &Self) -> [u64; 3] {
         let share = |part: u64, all: u64| (part * MILLI).checked_div(all).unwrap_or(0);
-        share(self.cpu_milli, whole.cpu_milli)
-            + share(self.memory_mb, whole.memory_mb)
-            + share(self.accelerators, whole.accelerators)
+        [
+            share(self.cpu_milli, whole.cpu_milli),
+            share(self.memory_mb, whole.memory_mb),
+            share(self.accelerators, whole.accelerators),
+        ]
     }
 }
--- a/src/work/claim.rs
+++ b/src/work/claim.rs
@@ -6,6 +6,7 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::fact::{OwnerFact, RunFact, WorkFact, read_run_entry};
+use crate::work::follow::list_newest;
 use crate::work::host_parts::{HostParts, host_time};
 use crate::work::owner::PoolOwner;
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
@@ -91,17 +92,11 @@
     stream: StreamName,
 ) -> Result<Vec<StreamRecord>, StoreFailure> {
     let mut records = Vec::new();
-    let mut after = None;
-    loop {
-        let reply = parts
-            .call_store(&StoreCall::Newest { stream, after })
-            .await?;
-        records.extend(reply.records);
-        after = records.last().map(|last| last.entry.key.clone());
-        if !reply.more {
-            return Ok(records);
-        }
-    }
+    list_newest(&parts.store, stream, |page| {
+        records.extend_from_slice(page);
+    })
+    .await?;
+    Ok(records)
 }
 
 /// A job's tasks as recorded.
--- a/src/work/desk.rs
+++ b/src/work/desk.rs
@@ -16,7 +16,7 @@
 use crate::work::host_parts::{HostParts, host_time, steady_ms};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 use crate::work::spec::WorkSpec;
-use crate::work::stream::{KeyedValue, StoreCall, StoreFailure, StreamName};
+use crate::work::stream::{KeyedValue, StoreCall, StoreFailure};
 
 /// Age of the configuration above which it is checked before a job is taken, in ms.
 const CONFIG_AGE_MAX_MS: u64 = 1_300;
@@ -237,12 +237,7 @@
             .saturating_sub(ANSWER_RESERVE_MS)
             .min(STORE_PATIENCE_MS);
         let until_ms = steady_ms() + patience_ms;
-        let call = StoreCall::Append {
-            stream: StreamName::Jobs,
-            entries: vec![entry],
-            stamp: None,
-            expected_end: None,
-        };
+        let call = StoreCall::add_fact(entry);
         let mut unsure = false;
         loop {
             let left_ms = until_ms.saturating_sub(steady_ms());
--- a/src/work/follow.rs
+++ b/src/work/follow.rs
@@ -101,28 +101,40 @@
 
     async fn list(&mut self) -> Result<bool, StoreFailure> {
         let asked_ms = steady_ms();
-        let mut after = None;
-        let mut end = None;
         self.sink.begin_listing();
-        loop {
-            let call = StoreCall::Newest {
-                stream: self.stream,
-                after,
-            };
-            let reply = self.call(&call).await?;
-            // Pages are read one after the other; what changed since the first is read again.
-            let first_end = *end.get_or_insert(reply.end);
-            self.sink.take(&reply.records);
-            let last = reply.records.last().map(|record| record.entry.key.clone());
-            match (reply.more, last) {
-                (true, Some(key)) => after = Some(key),
-                _ => {
-                    self.next = Some(first_end);
-                    self.sink.end_listing();
-                    self.sink.answered(asked_ms, first_end);
-                    return Ok(true);
-                }
-            }
+        let sink = &mut self.sink;
+        let end = list_newest(&self.store, self.stream, |records| sink.take(records)).await?;
+        self.next = Some(end);
+        self.sink.end_listing();
+        self.sink.answered(asked_ms, end);
+        Ok(true)
+    }
+}
+
+/// Reads the newest record of each key, page by page. Returns where to read on: pages are read
+/// one after the other, so what changed since the first is read again from there.
+///
+/// # Errors
+///
+/// Fails when a page cannot be had; pages before it have been given to `take`.
+pub async fn list_newest<S: StorePort>(
+    store: &S,
+    stream: StreamName,
+    mut take: impl FnMut(&[StreamRecord]),
+) -> Result<u64, StoreFailure> {
+    let limit = Duration::from_millis(STORE_LIMIT_MS);
+    let mut after = None;
+    let mut end = None;
+    loop {
+        let reply = store
+            .call(&StoreCall::Newest { stream, after }, limit)
+            .await?;
+        let first_end = *end.get_or_insert(reply.end);
+        take(&reply.records);
+        let last = reply.records.last().map(|record| record.entry.key.clone());
+        match (reply.more, last) {
+            (true, Some(key)) => after = Some(key),
+            _ => return Ok(first_end),
         }
     }
 }
--- a/src/work/host.rs
+++ b/src/work/host.rs
@@ -9,7 +9,7 @@
 use crate::work::desk::CallDesk;
 use crate::work::fact::{HostFact, WorkFact};
 use crate::work::follow::{StreamFollower, StreamSink};
-use crate::work::host_parts::{HostIdentity, HostParts};
+use crate::work::host_parts::{HostIdentity, HostParts, steady_ms};
 use crate::work::owner_loop::run_owner_loop;
 use crate::work::peers::{PeerRing, serve_peers};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
@@ -75,7 +75,7 @@
     pub async fn close(self) {
         let entry = host_entry(&self.parts, self.address, true);
         // Peers find out by themselves otherwise.
-        let _ = self.parts.call_store(&append_job_row(entry)).await;
+        let _ = self.parts.call_store(&StoreCall::add_fact(entry)).await;
     }
 }
 
@@ -84,20 +84,11 @@
     KeyedValue::from(&WorkFact::Host(parts.identity.name.clone(), fact))
 }
 
-fn append_job_row(entry: KeyedValue) -> StoreCall {
-    StoreCall::Append {
-        stream: StreamName::Jobs,
-        entries: vec![entry],
-        stamp: None,
-        expected_end: None,
-    }
-}
-
 async fn announce<S: StorePort, O: OrderPort, R: RecordReader>(
     parts: Rc<HostParts<S, O, R>>,
     address: SocketAddr,
 ) {
-    let call = append_job_row(host_entry(&parts, address, false));
+    let call = StoreCall::add_fact(host_entry(&parts, address, false));
     while let Err(failure) = parts.call_store(&call).await {
         log::debug!(failure:% = failure; "host: not announced yet.");
         tokio::time::sleep(Duration::from_millis(ANNOUNCE_RETRY_MS)).await;
@@ -147,7 +138,7 @@
     fn answered(&mut self, _asked_ms: u64, next: u64) {
         let position = self.parts.position.get().max(next);
         self.parts.position.set(position);
-        let now_ms = crate::work::host_parts::steady_ms();
+        let now_ms = steady_ms();
         self.parts.watch.borrow_mut().store_answered(now_ms);
     }
 
--- a/src/work/host_parts.rs
+++ b/src/work/host_parts.rs
@@ -13,7 +13,7 @@
 use crate::work::fact_table::{FactTable, TableChange};
 use crate::work::owner::{OwnerTiming, PoolOwner};
 use crate::work::peers::PeerRing;
-use crate::work::ports::StorePort;
+use crate::work::ports::{RecordReader, StorePort};
 use crate::work::relay::RelayStore;
 use crate::work::stream::{StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord};
 use crate::work::succession::SuccessionWatch;
@@ -200,7 +200,7 @@
     /// Fails when the store cannot be reached.
     pub async fn refresh_config(&self) -> Result<(), StoreFailure>
     where
-        R: crate::work::ports::RecordReader,
+        R: RecordReader,
     {
         let asked_ms = steady_ms();
         let call = StoreCall::Newest {
@@ -216,7 +216,7 @@
     /// Puts the configurations among records in force, the newest last.
     pub fn offer_configs(&self, records: &[StreamRecord])
     where
-        R: crate::work::ports::RecordReader,
+        R: RecordReader,
     {
         for record in records {
             let Some(config) = self.reader.config(&record.entry) else {
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -19,12 +19,10 @@
 use crate::work::config::WorkConfig;
 use crate::work::fact::{JobFact, JobPhase, RunFact, WorkFact, run_entry};
 use crate::work::owner::job_state::{JobState, MemberPhase, UnitPhase};
-use crate::work::owner::upstream_state::{HeldTask, UpstreamState};
+use crate::work::owner::upstream_state::{HeldTask, LAPSE_MARGIN_MS, UpstreamState};
 use crate::work::stream::KeyedValue;
 use crate::work::upstream::{RenewOrder, StartOrder, StopOrder, UpstreamReport};
 
-/// Time after a lease's end until its tasks surely run no more, in ms.
-const LAPSE_MARGIN_MS: u64 = 250;
 /// Longest time between two rounds of placement, in ms.
 const PLAN_EVERY_MS: u64 = 250;
 /// Shortest time between two rounds of placement, in ms: events come in bunches.
@@ -81,7 +79,6 @@
     gated: VecDeque<GatedOrder>,
     ready: Vec<UpstreamOrder>,
     batch: u64,
-    durable: u64,
     phases: Vec<(ObjectName, JobPhase)>,
     finished: Vec<ObjectName>,
     /// Jobs that ended in this term, sorted.
@@ -112,7 +109,6 @@
             gated: VecDeque::new(),
             ready: Vec::new(),
             batch: 1,
-            durable: 0,
             phases: Vec::new(),
             finished: Vec::new(),
             ended: Vec::new(),
@@ -455,7 +451,6 @@
 
     /// Notes that a batch is in the store.
     pub fn on_durable(&mut self, number: u64) {
-        self.durable = number;
         while let Some(gated) = self.gated.pop_front_if(|gated| gated.batch <= number) {
             self.release_start(gated.order);
         }
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -49,18 +49,30 @@
     open: Vec<OpenUpstream>,
     /// Index in the owner's table for each open upstream.
     rows: Vec<usize>,
+    /// Sum of what the upstreams have.
+    capacity: ResourceAmount,
+    /// Sum of what is free on them.
+    free: ResourceAmount,
 }
 
 impl OpenPool {
-    /// Returns whether more than half of the room is in use.
+    fn add(&mut self, row: usize, open: OpenUpstream) {
+        self.capacity = self.capacity.plus(&open.capacity);
+        self.free = self.free.plus(&open.free);
+        self.rows.push(row);
+        self.open.push(open);
+    }
+
+    fn set_free(&mut self, index: usize, free: ResourceAmount) {
+        let open = &mut self.open[index];
+        self.free = self.free.minus(&open.free).plus(&free);
+        open.free = free;
+    }
+
+    /// Returns whether about half of the room or more is in use.
     fn is_busy(&self) -> bool {
-        let sum = |amount: fn(&OpenUpstream) -> ResourceAmount| {
-            let amounts = self.open.iter().map(amount);
-            amounts.fold(ResourceAmount::default(), |sum, one| sum.plus(&one))
-        };
-        let capacity = sum(|open| open.capacity);
-        let used = capacity.minus(&sum(|open| open.free));
-        used.share_of(&capacity) > BUSY_SHARE
+        let used = self.capacity.minus(&self.free);
+        used.share_of(&self.capacity) > BUSY_SHARE
     }
 }
 
@@ -215,6 +227,8 @@
             name: pool.clone(),
             open: Vec::new(),
             rows: Vec::new(),
+            capacity: ResourceAmount::default(),
+            free: ResourceAmount::default(),
         };
         for (row, upstream) in self.upstreams.iter().enumerate() {
             let Some(report) = &upstream.report else {
@@ -223,8 +237,7 @@
             if report.pool != *pool || !upstream.is_open(now_ms) {
                 continue;
             }
-            all.rows.push(row);
-            all.open.push(OpenUpstream {
+            let open = OpenUpstream {
                 name: upstream.name.clone(),
                 rack: report.rack.clone(),
                 labels: report.labels.clone(),
@@ -236,7 +249,8 @@
                     .reserved
                     .clone()
                     .filter(|_| upstream.reserved_ms > now_ms),
-            });
+            };
+            all.add(row, open);
         }
         all
     }
@@ -372,7 +386,7 @@
                 upstream.reserved = None;
                 pool.open[index].reserved = None;
             }
-            pool.open[index].free = upstream.free();
+            pool.set_free(index, upstream.free());
             let place = MemberState {
                 phase: MemberPhase::Planned,
                 upstream: Some(upstream.name.clone()),
--- a/src/work/owner/renewals.rs
+++ b/src/work/owner/renewals.rs
@@ -3,9 +3,8 @@
 //! Answers this pattern: upstreams are cut off or freeze and run on. Their tasks run
 //! elsewhere only once their leases are over on the upstream's own, slower clock.
 
-use crate::work::clock::surely_passed_ms;
 use crate::work::owner::job_state::{MemberPhase, UnitPhase};
-use crate::work::owner::{GatedOrder, LAPSE_MARGIN_MS, PoolOwner, UpstreamOrder};
+use crate::work::owner::{GatedOrder, PoolOwner, UpstreamOrder};
 use crate::work::upstream::{RenewOrder, StartOrder, StopOrder};
 
 /// How long a renewal waits at the upstream for an end, in ms.
@@ -66,17 +65,12 @@
                 false => 0,
             };
             // Leases of a silent upstream run out; it is only asked for a sign of life.
-            let answers = upstream.silent_count == 0;
-            let lease_until_ms = upstream
-                .clock
-                .filter(|_| answers)
-                .map(|clock| clock.at_least(now_ms) + self.timing.lease_ms);
+            let lease_until_ms = match upstream.silent_count {
+                0 => upstream.grant_lease(now_ms, self.timing.lease_ms),
+                _ => None,
+            };
             upstream.renewing = true;
             upstream.told_end = upstream.recorded_end;
-            if lease_until_ms.is_some() {
-                let lapsed_ms = now_ms + surely_passed_ms(self.timing.lease_ms) + LAPSE_MARGIN_MS;
-                upstream.lapsed_ms = upstream.lapsed_ms.max(lapsed_ms);
-            }
             self.ready.push(UpstreamOrder::Renew(RenewOrder {
                 target,
                 lease_until_ms,
@@ -149,22 +143,23 @@
             return;
         };
         let upstream = &mut self.upstreams[index];
-        let (Some(target), Some(clock)) = (upstream.target(self.term), upstream.clock) else {
-            return;
-        };
         // After a change of owner, a look comes before a start is sent again.
         if !gated && !upstream.looked {
             return;
         }
-        let lapsed_ms = now_ms + surely_passed_ms(self.timing.lease_ms) + LAPSE_MARGIN_MS;
-        upstream.lapsed_ms = upstream.lapsed_ms.max(lapsed_ms);
+        let Some(target) = upstream.target(self.term) else {
+            return;
+        };
+        let Some(lease_until_ms) = upstream.grant_lease(now_ms, self.timing.lease_ms) else {
+            return;
+        };
         let order = StartOrder {
             target,
             task: self.jobs[job].task(unit, member),
             run: state.run,
             payload: self.jobs[job].fact.spec.payload.clone(),
             saved: state.resumed.clone(),
-            lease_until_ms: clock.at_least(now_ms) + self.timing.lease_ms,
+            lease_until_ms,
         };
         let state = &mut self.jobs[job].units[unit].members[member];
         state.phase = MemberPhase::Sent;
@@ -180,33 +175,20 @@
 
     /// Sends a start whose record is in the store, unless it is no longer wanted.
     pub(super) fn release_start(&mut self, mut order: StartOrder) {
-        let Some(job) = self.job_index(&order.task.job) else {
+        let Some((job, unit, member)) = self.ordered(order.task_key()) else {
             return;
         };
-        let Some((unit, member)) = self.jobs[job].locate(&order.task) else {
-            return;
-        };
-        let state = &self.jobs[job].units[unit];
-        let here = state.run == order.run
-            && state.members[member].upstream.as_ref() == Some(&order.target.upstream);
-        if !here {
-            return;
-        }
-        if state.phase != UnitPhase::Active {
+        if self.jobs[job].units[unit].phase != UnitPhase::Active {
             self.clear_member(job, unit, member);
             self.settle_unit(job, unit);
             return;
         }
         let now_ms = self.now.steady_ms;
         let lease_ms = self.timing.lease_ms;
-        if let Some(index) = self.upstream_index(&order.target.upstream) {
-            let upstream = &mut self.upstreams[index];
-            if let Some(clock) = upstream.clock {
-                order.lease_until_ms = clock.at_least(now_ms) + lease_ms;
-            }
-            let lapsed_ms = now_ms + surely_passed_ms(lease_ms) + LAPSE_MARGIN_MS;
-            upstream.lapsed_ms = upstream.lapsed_ms.max(lapsed_ms);
-        }
+        let index = self.upstream_index(&order.target.upstream);
+        let lease = index.and_then(|index| self.upstreams[index].grant_lease(now_ms, lease_ms));
+        // The record may have taken long.
+        order.lease_until_ms = lease.unwrap_or(order.lease_until_ms);
         self.jobs[job].units[unit].members[member].ordered_ms = now_ms;
         self.ready.push(UpstreamOrder::Start(order));
     }
--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -8,6 +8,7 @@
 use crate::work::owner::job_state::{MemberPhase, UnitPhase};
 use crate::work::owner::renewals::RECORD_PAUSE_MS;
 use crate::work::owner::{PoolOwner, UpstreamOrder};
+use crate::work::task_ref::TaskRef;
 use crate::work::upstream::{
     EndKind, EndedTask, OrderFailure, RenewOrder, RenewReply, RunningTask, StartOrder,
     StartOutcome, StartRefusal, StopOrder,
@@ -127,9 +128,10 @@
         }
     }
 
-    fn ordered(
+    /// Returns where a run stands, if it is still the present one of its task there.
+    pub(super) fn ordered(
         &self,
-        (task, run, upstream): (&crate::work::task_ref::TaskRef, u32, &ObjectName),
+        (task, run, upstream): (&TaskRef, u32, &ObjectName),
     ) -> Option<(usize, usize, usize)> {
         let job = self.job_index(&task.job)?;
         let (unit, member) = self.jobs[job].locate(task)?;
@@ -406,7 +408,7 @@
 }
 
 impl StartOrder {
-    fn task_key(&self) -> (&crate::work::task_ref::TaskRef, u32, &ObjectName) {
+    pub(super) fn task_key(&self) -> (&TaskRef, u32, &ObjectName) {
         (&self.task, self.run, &self.target.upstream)
     }
 }
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -4,11 +4,13 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::amount::ResourceAmount;
-use crate::work::clock::ClockReading;
+use crate::work::clock::{ClockReading, surely_passed_ms};
 use crate::work::pace::UpstreamPace;
 use crate::work::place::RoomClaim;
 use crate::work::upstream::{OrderTarget, UpstreamReport};
 
+/// Time after a lease's end until its tasks surely run no more, in ms.
+pub(super) const LAPSE_MARGIN_MS: u64 = 250;
 /// Bits of a fencing token that count an upstream's lives within a term.
 const LIFE_BITS: u32 = 8;
 
@@ -62,7 +64,7 @@
     pub recorded_end: u64,
     /// Highest recorded end that the upstream was told.
     pub told_end: u64,
-    /// Batch that records the ends seen; renewals wait for it.
+    /// Batch that records the ends seen; until then looks are spaced out.
     pub end_batch: Option<u64>,
     /// Whether this owner has had an answer from it.
     pub looked: bool,
@@ -138,22 +140,27 @@
         capacity.unwrap_or_default().minus(&self.used)
     }
 
+    /// Gives a lease from now on; returns its end on the upstream's clock, none if the clock is
+    /// not known.
+    pub fn grant_lease(&mut self, now_ms: u64, lease_ms: u64) -> Option<u64> {
+        let clock = self.clock?;
+        let lapsed_ms = now_ms + surely_passed_ms(lease_ms) + LAPSE_MARGIN_MS;
+        self.lapsed_ms = self.lapsed_ms.max(lapsed_ms);
+        Some(clock.at_least(now_ms) + lease_ms)
+    }
+
     /// Adds a task.
     pub fn hold(&mut self, task: HeldTask) {
         self.used = self.used.plus(&task.need);
         self.held.push(task);
     }
 
-    /// Removes a task; returns whether it was there.
-    pub fn release(&mut self, job: &ObjectName, unit: usize, member: usize) -> bool {
+    /// Removes a task, if it is there.
+    pub fn release(&mut self, job: &ObjectName, unit: usize, member: usize) {
         let same = |task: &HeldTask| task.job == *job && task.unit == unit && task.member == member;
-        match self.held.iter().position(same) {
-            Some(index) => {
-                let task = self.held.swap_remove(index);
-                self.used = self.used.minus(&task.need);
-                true
-            }
-            None => false,
+        if let Some(index) = self.held.iter().position(same) {
+            let task = self.held.swap_remove(index);
+            self.used = self.used.minus(&task.need);
         }
     }
 
--- a/src/work/place.rs
+++ b/src/work/place.rs
@@ -94,17 +94,11 @@
 
 /// Returns how many tasks of a unit may be on an upstream if all its room were free.
 pub fn rooms_allowed(demand: &UnitDemand, claim: &RoomClaim, upstream: &OpenUpstream) -> usize {
-    let label = demand.label.as_ref();
-    let labelled = label.is_none_or(|label| upstream.labels.contains(label));
     let avoided = demand.avoid.contains(&upstream.name);
-    if !labelled || avoided || !upstream.is_open_to(claim) {
+    if !may_use(demand, claim, upstream) || avoided {
         return 0;
     }
-    let empty = OpenUpstream {
-        free: upstream.capacity,
-        ..upstream.clone()
-    };
-    room_on(demand, &empty)
+    places_in(demand, upstream, &upstream.capacity)
 }
 
 /// One search for places.
@@ -170,10 +164,7 @@
     }
 
     fn suits(&self, upstream: &OpenUpstream) -> bool {
-        let label = self.demand.label.as_ref();
-        label.is_none_or(|label| upstream.labels.contains(label))
-            && upstream.is_open_to(self.claim)
-            && room_on(self.demand, upstream) > 0
+        may_use(self.demand, self.claim, upstream) && room_on(self.demand, upstream) > 0
     }
 }
 
@@ -227,8 +218,19 @@
     rooms
 }
 
+/// Returns whether a unit may be on an upstream, whatever its room.
+fn may_use(demand: &UnitDemand, claim: &RoomClaim, upstream: &OpenUpstream) -> bool {
+    let label = demand.label.as_ref();
+    label.is_none_or(|label| upstream.labels.contains(label)) && upstream.is_open_to(claim)
+}
+
 fn room_on(demand: &UnitDemand, upstream: &OpenUpstream) -> usize {
-    let room = upstream.free.count_of(&demand.need);
+    places_in(demand, upstream, &upstream.free)
+}
+
+/// Returns how many tasks of a unit fit into an amount of an upstream's room.
+fn places_in(demand: &UnitDemand, upstream: &OpenUpstream, amount: &ResourceAmount) -> usize {
+    let room = amount.count_of(&demand.need);
     let room = usize::try_from(room).unwrap_or(usize::MAX);
     if demand.spread_max == 0 {
         return room;
--- a/src/work/stream.rs
+++ b/src/work/stream.rs
@@ -80,6 +80,16 @@
 }
 
 impl StoreCall {
+    /// Appends a record to the stream of jobs; it may be made twice without harm.
+    pub fn add_fact(entry: KeyedValue) -> Self {
+        Self::Append {
+            stream: StreamName::Jobs,
+            entries: vec![entry],
+            stamp: None,
+            expected_end: None,
+        }
+    }
+
     /// Returns how long the store may take on purpose, in ms.
     pub fn wait_ms(&self) -> u64 {
         match self {
