Let a large host own the pool also when the configuration comes late

Ruled out: log volume (both kinds with all lines and with 500 a second), the owner's processor on large hosts (0.06 of 0.5 core).

The wait of a vacant pool now counts from when the host is able to own it; a small owner gives way to a large host that makes itself known later (herd kills, replacements).

Tests: both decisions in work_decisions; the first fails with note_ready taken out (it could not be expressed before).

--- a/src/work/fact.rs
+++ b/src/work/fact.rs
@@ -68,6 +68,9 @@
     pub address: SocketAddr,
     /// Whether it has shut down.
     pub gone: bool,
+    /// Whether it is large enough to be preferred as the pool's owner.
+    #[serde(default)]
+    pub large: bool,
 }
 
 /// A fact in the stream of jobs.
--- a/src/work/fact_table.rs
+++ b/src/work/fact_table.rs
@@ -36,6 +36,8 @@
     pub name: ObjectName,
     /// Its address and whether it is gone.
     pub fact: HostFact,
+    /// Offset of its newest record.
+    pub offset: u64,
 }
 
 /// The owner with the offset of its first record.
@@ -118,7 +120,7 @@
                 TableChange::Owner
             }
             WorkFact::Host(name, fact) => {
-                self.put_host(HostRow { name, fact });
+                self.put_host(HostRow { name, fact, offset });
                 TableChange::Other
             }
         }
--- a/src/work/host.rs
+++ b/src/work/host.rs
@@ -80,7 +80,11 @@
 }
 
 fn host_entry<S, O, R>(parts: &HostParts<S, O, R>, address: SocketAddr, gone: bool) -> KeyedValue {
-    let fact = HostFact { address, gone };
+    let fact = HostFact {
+        address,
+        gone,
+        large: parts.identity.large,
+    };
     KeyedValue::from(&WorkFact::Host(parts.identity.name.clone(), fact))
 }
 
--- a/src/work/host_parts.rs
+++ b/src/work/host_parts.rs
@@ -43,6 +43,8 @@
     pub name: ObjectName,
     /// Its place in the order of trying to own the pool: 0 first, 1 last.
     pub rank: f64,
+    /// Whether it is large enough to be preferred as the pool's owner.
+    pub large: bool,
     /// Bounds for the owner.
     pub timing: OwnerTiming,
 }
--- a/src/work/owner_loop.rs
+++ b/src/work/owner_loop.rs
@@ -16,6 +16,7 @@
 use crate::work::stream::{
     KeyedValue, StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord,
 };
+use crate::work::succession::gives_way;
 
 /// Time between two looks at whether an owner is wanted, in ms.
 const WATCH_MS: u64 = 50;
@@ -36,12 +37,7 @@
 ) {
     loop {
         tokio::time::sleep(Duration::from_millis(WATCH_MS)).await;
-        let due = parts.is_ready()
-            && parts
-                .watch
-                .borrow()
-                .is_due(parts.table.borrow().owner.as_ref(), steady_ms());
-        if !due {
+        if !is_wanted(&parts) {
             continue;
         }
         match claim(&parts).await {
@@ -54,6 +50,17 @@
     }
 }
 
+/// Returns whether this host should try to own the pool now.
+fn is_wanted<S: StorePort, O, R>(parts: &HostParts<S, O, R>) -> bool {
+    if !parts.is_ready() {
+        return false;
+    }
+    let now_ms = steady_ms();
+    let mut watch = parts.watch.borrow_mut();
+    watch.note_ready(now_ms);
+    watch.is_due(parts.table.borrow().owner.as_ref(), now_ms)
+}
+
 /// Appends of the owner to one stream, in order.
 struct OwnerWriter {
     stream: StreamName,
@@ -106,6 +113,8 @@
 struct OwnerRun<S, O, R> {
     parts: Rc<HostParts<S, O, R>>,
     term: u64,
+    /// Offset of the stream of jobs at which its time began.
+    since: u64,
     ended: Rc<Cell<bool>>,
     recording: Rc<Cell<bool>>,
     /// When the last append that was accepted was sent, steady ms.
@@ -121,6 +130,7 @@
         Self {
             parts: Rc::clone(&self.parts),
             term: self.term,
+            since: self.since,
             ended: Rc::clone(&self.ended),
             recording: Rc::clone(&self.recording),
             proved_ms: Rc::clone(&self.proved_ms),
@@ -145,6 +155,7 @@
         Self {
             parts: Rc::clone(parts),
             term,
+            since: parts.position.get(),
             ended: Rc::default(),
             recording: Rc::default(),
             proved_ms: Rc::new(Cell::new(steady_ms())),
@@ -196,7 +207,11 @@
             return;
         }
         if self.parts.draining.get() {
-            self.release();
+            self.release("it shuts down");
+            return;
+        }
+        if self.gives_way() {
+            self.release("a larger host has come");
             return;
         }
         let orders = self.with_owner(|owner| {
@@ -216,6 +231,11 @@
         self.record();
     }
 
+    fn gives_way(&self) -> bool {
+        let hosts = &self.parts.table.borrow().hosts;
+        gives_way(self.parts.identity.large, hosts, self.since)
+    }
+
     fn with_owner<T>(&self, act: impl FnOnce(&mut PoolOwner) -> T) -> Option<T> {
         let mut owner = self.parts.owner.borrow_mut();
         let owner = owner.as_mut().filter(|owner| owner.term() == self.term)?;
@@ -229,7 +249,7 @@
     }
 
     /// Gives the pool up, once what is being recorded is recorded.
-    fn release(&self) {
+    fn release(&self, reason: &str) {
         if self.recording.get() {
             return;
         }
@@ -238,7 +258,7 @@
             rows: vec![KeyedValue::from(&WorkFact::Owner(fact))],
             finished: Vec::new(),
         });
-        self.end("it shuts down");
+        self.end(reason);
     }
 
     fn queue_jobs(&self, more: JobRows) {
--- a/src/work/succession.rs
+++ b/src/work/succession.rs
@@ -2,9 +2,10 @@
 //!
 //! Answers this pattern: the owner dies or is cut off while tasks hold short leases; the
 //! leases must be renewed before they are over, and a slow store must not depose an owner.
+//! Beside it: hosts differ in size, and a small one is too slow for the whole pool under load.
 
 use crate::tables::name::ObjectName;
-use crate::work::fact_table::OwnerRow;
+use crate::work::fact_table::{HostRow, OwnerRow};
 
 /// Silence of the owner, while the store answers, after which others try, in ms.
 const OWNER_SILENT_MS: u64 = 1_400;
@@ -27,6 +28,8 @@
     answered_ms: Option<u64>,
     /// When the owner was last heard, or the store first answered.
     heard_ms: Option<u64>,
+    /// When this host was first able to own the pool.
+    ready_ms: Option<u64>,
 }
 
 impl SuccessionWatch {
@@ -38,6 +41,7 @@
             silent_ms: 0,
             answered_ms: None,
             heard_ms: None,
+            ready_ms: None,
         }
     }
 
@@ -59,6 +63,12 @@
         self.heard_ms.get_or_insert(now_ms);
     }
 
+    /// Notes that this host is able to own the pool. All hosts become so at once when the first
+    /// configuration comes, so a vacant pool's wait counts from here at the earliest.
+    pub fn note_ready(&mut self, now_ms: u64) {
+        self.ready_ms.get_or_insert(now_ms);
+    }
+
     /// Returns whether this host should try now.
     ///
     /// That a pool is vacant stands in the stream, so time alone decides who tries first; a
@@ -68,8 +78,9 @@
             return false;
         };
         let vacant = owner.is_none_or(|row| row.fact.released || row.fact.host == self.host);
+        let since_ms = heard_ms.max(self.ready_ms.unwrap_or(heard_ms));
         match vacant {
-            true => now_ms.saturating_sub(heard_ms) >= self.share_of(VACANT_SPREAD_MS),
+            true => now_ms.saturating_sub(since_ms) >= self.share_of(VACANT_SPREAD_MS),
             false => self.silent_ms >= OWNER_SILENT_MS + self.share_of(SPREAD_MS),
         }
     }
@@ -79,6 +90,13 @@
     }
 }
 
+/// Returns whether an owner on a small host gives the pool up: a large host has made itself
+/// known since the owner's time began at the offset `since`.
+pub fn gives_way(own_large: bool, hosts: &[HostRow], since: u64) -> bool {
+    let better = |host: &HostRow| host.fact.large && !host.fact.gone && host.offset >= since;
+    !own_large && hosts.iter().any(better)
+}
+
 /// Returns the term after `last`; `nonce` keeps two rivals from choosing the same.
 pub fn next_term(last: u64, nonce: u16) -> u64 {
     ((last >> TERM_NONCE_BITS) + 1) << TERM_NONCE_BITS | u64::from(nonce)
--- a/tests/work_decisions.rs
+++ b/tests/work_decisions.rs
@@ -3,14 +3,14 @@
 use hemlockramp::tables::name::ObjectName;
 use hemlockramp::work::amount::ResourceAmount;
 use hemlockramp::work::displace::{VictimUnit, choose_victims};
-use hemlockramp::work::fact::OwnerFact;
-use hemlockramp::work::fact_table::OwnerRow;
+use hemlockramp::work::fact::{HostFact, OwnerFact};
+use hemlockramp::work::fact_table::{HostRow, OwnerRow};
 use hemlockramp::work::headroom::kept_room;
 use hemlockramp::work::order::{WaitingUnit, order_key};
 use hemlockramp::work::pace::{PaceWish, TaskProgress, UpstreamPace};
 use hemlockramp::work::patience::NearWait;
 use hemlockramp::work::place::{OpenUpstream, RoomClaim, UnitDemand, place_unit};
-use hemlockramp::work::succession::{SuccessionWatch, next_term};
+use hemlockramp::work::succession::{SuccessionWatch, gives_way, next_term};
 use hemlockramp::work::task_ref::TaskRef;
 
 fn name(text: &str) -> ObjectName {
@@ -376,6 +376,84 @@
     assert!(small.is_due(Some(&owner("b", true)), 6_000));
 }
 
+/// Load: all hosts have read the stream when the first configuration comes (seen on the grown
+/// sites: every host was due at that moment, and a host of 0.12 core took the pool for the day).
+#[test]
+fn a_vacant_pool_goes_to_a_large_host_though_the_configuration_comes_late() {
+    let mut large = SuccessionWatch::new(name("large"), 0.2);
+    let mut small = SuccessionWatch::new(name("small"), 0.45);
+    for watch in [&mut large, &mut small] {
+        watch.store_answered(0);
+        watch.note_ready(900);
+        watch.note_ready(1_100);
+    }
+    assert!(!small.is_due(None, 1_150));
+    assert!(large.is_due(None, 1_150));
+    assert!(small.is_due(None, 1_400), "where no large host is left");
+}
+
+struct WayCase {
+    what: &'static str,
+    own_large: bool,
+    large: bool,
+    gone: bool,
+    offset: u64,
+    gives_way: bool,
+}
+
+/// Load: the large hosts are all away for a while, and a small one takes the pool.
+#[test]
+fn a_small_owner_gives_way_to_a_large_host_that_comes() {
+    let small_owner = WayCase {
+        what: "a large host has come",
+        own_large: false,
+        large: true,
+        gone: false,
+        offset: 12,
+        gives_way: true,
+    };
+    let cases = [
+        WayCase {
+            what: "not to another small host",
+            large: false,
+            gives_way: false,
+            ..small_owner
+        },
+        WayCase {
+            what: "not to a host that has left",
+            gone: true,
+            gives_way: false,
+            ..small_owner
+        },
+        WayCase {
+            what: "not to a host of which nothing has been heard since",
+            offset: 9,
+            gives_way: false,
+            ..small_owner
+        },
+        WayCase {
+            what: "a large owner stays",
+            own_large: true,
+            gives_way: false,
+            ..small_owner
+        },
+        small_owner,
+    ];
+    for case in cases {
+        let host = HostRow {
+            name: name("other"),
+            fact: HostFact {
+                address: ([127, 0, 0, 1], 1).into(),
+                gone: case.gone,
+                large: case.large,
+            },
+            offset: case.offset,
+        };
+        let gives_way = gives_way(case.own_large, &[host], 10);
+        assert_eq!(gives_way, case.gives_way, "{}", case.what);
+    }
+}
+
 #[test]
 fn terms_rise_and_rivals_differ() {
     let first = next_term(0, 7);
