Store facts with the owner's next append; refuse at once while the store is away

Calls that were given up after 0.9 s were made again, and all 44 hosts took the late signs of life for a dead owner: their claims filled the queue further.

Ruled out: the balancer and the hosts' own speed (hand-in takes 10 ms before and after).

Now a host gives facts to the pool's owner, which stores them with its next append, and waits for as long as the owner is heard; limits and the owner's silence allow for the store's present pace (store_health.rs); one call at a time probes the direct way of a host that is turned away. A store that answers nobody is known as such within 1.5 s, and callers are refused at once, with a time to come back that grows with the outage; states that are known are still told. A fact whose append failed after a try without an answer is "unsure", never "not run".

--- a/src/daemons/peer_link.rs
+++ b/src/daemons/peer_link.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
@@ -38,14 +39,27 @@
 pub struct PeerLink {
     address: SocketAddr,
     queue: mpsc::Sender<QueuedCall>,
+    heard: Arc<Mutex<Instant>>,
 }
 
 impl PeerLink {
     /// Starts the link's task; it ends when all clones are dropped.
     pub fn start(address: SocketAddr) -> Self {
         let (queue, receiver) = mpsc::channel(QUEUE_MAX);
-        tokio::spawn(run_link(address, receiver));
-        Self { address, queue }
+        let heard = Arc::new(Mutex::new(Instant::now()));
+        tokio::spawn(run_link(address, receiver, Arc::clone(&heard)));
+        Self {
+            address,
+            queue,
+            heard,
+        }
+    }
+
+    /// Returns the time since the scheduler was last heard, in ms; it answers a ping every half
+    /// second while it is well.
+    pub fn quiet_ms(&self) -> u64 {
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        heard.elapsed().as_millis() as u64
     }
 
     /// Returns the scheduler's address.
@@ -80,11 +94,15 @@
     }
 }
 
-async fn run_link(address: SocketAddr, mut queue: mpsc::Receiver<QueuedCall>) {
+async fn run_link(
+    address: SocketAddr,
+    mut queue: mpsc::Receiver<QueuedCall>,
+    heard: Arc<Mutex<Instant>>,
+) {
     loop {
         match connect(address).await {
             Some(socket) => {
-                if !run_socket(socket, &mut queue).await {
+                if !run_socket(socket, &mut queue, &heard).await {
                     return;
                 }
             }
@@ -136,7 +154,11 @@
 }
 
 /// Serves one connection until it breaks; returns whether the link is still wanted.
-async fn run_socket(mut socket: Socket, queue: &mut mpsc::Receiver<QueuedCall>) -> bool {
+async fn run_socket(
+    mut socket: Socket,
+    queue: &mut mpsc::Receiver<QueuedCall>,
+    shared: &Mutex<Instant>,
+) -> bool {
     let mut pending = PendingCalls::default();
     let mut pings = interval(Duration::from_millis(PING_MS));
     pings.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -154,6 +176,7 @@
             message = socket.next() => match message {
                 Some(Ok(message)) => {
                     heard = Instant::now();
+                    *shared.lock().unwrap_or_else(PoisonError::into_inner) = heard;
                     take_reply(message, &mut pending);
                 }
                 _ => break true,
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -12,7 +12,7 @@
 use crate::tables::ticket::TicketSpec;
 use crate::wire::api::{AuditFilter, ChangeView, ExplainView, HostsView, JobView, TicketView};
 use crate::wire::log::HostState;
-use crate::work::stream::{StoreCall, StoreFailure, StoreReply};
+use crate::work::stream::{KeyedValue, StoreCall, StoreFailure, StoreReply};
 
 /// One frame.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -80,6 +80,8 @@
     Outcome(OutcomeRecord),
     /// Call the platform's store for a host that it turns away.
     Store(StoreCall),
+    /// Store a fact with the owner's next append.
+    Record(KeyedValue),
 }
 
 /// A scheduler's reply.
@@ -107,6 +109,8 @@
     Intent(IntentReply),
     /// What the platform's store answered.
     Store(Result<StoreReply, StoreFailure>),
+    /// How the owner's append ended.
+    Recorded(Result<(), StoreFailure>),
 }
 
 /// Answer to an intent.
--- a/src/work/desk.rs
+++ b/src/work/desk.rs
@@ -16,13 +16,13 @@
 use crate::work::host_parts::{HostParts, host_time, steady_ms};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 use crate::work::spec::WorkSpec;
-use crate::work::stream::{KeyedValue, StoreCall, StoreFailure};
+use crate::work::stream::{KeyedValue, StoreFailure};
 
 /// Age of the configuration above which it is checked before a job is taken, in ms.
-const CONFIG_AGE_MAX_MS: u64 = 1_300;
+const CONFIG_AGE_MAX_MS: u64 = 1_700;
 /// Age above which it is checked before a call is refused by it, in ms.
 const REFUSAL_AGE_MAX_MS: u64 = 250;
-/// Longest time spent on storing what a caller sent, in ms.
+/// Longest time spent on a call, in ms.
 const STORE_PATIENCE_MS: u64 = 1_800;
 /// Time kept of the caller's limit for the answer's way back, in ms.
 const ANSWER_RESERVE_MS: u64 = 400;
@@ -30,8 +30,6 @@
 const STORE_RETRY_MS: u64 = 60;
 /// Longest time spent on a check against the store, in ms.
 const CHECK_LIMIT_MS: u64 = 1_200;
-/// When to come back while the store is away, in ms.
-const AWAY_RETRY_MS: u64 = 1_000;
 
 /// A caller's request, without its body.
 #[derive(Clone, Debug)]
@@ -57,8 +55,8 @@
     pub team: Option<ObjectName>,
     /// The path after the route's prefix.
     pub rest: String,
-    /// How long the caller waits, in ms.
-    pub limit_ms: u64,
+    /// Until when a refusal or an answer is due, steady ms.
+    pub until_ms: u64,
     /// Largest body, in bytes.
     pub body_max_bytes: usize,
 }
@@ -83,13 +81,6 @@
     Unsure,
 }
 
-fn away(reason: impl ToString) -> DeskRefusal {
-    DeskRefusal::NotRun {
-        retry_ms: AWAY_RETRY_MS,
-        reason: reason.to_string(),
-    }
-}
-
 /// Serves callers from one host's parts. Cloning shares them.
 pub struct CallDesk<S, O, R> {
     parts: Rc<HostParts<S, O, R>>,
@@ -120,23 +111,44 @@
     ///
     /// Refuses unknown routes and keys, after a check against the store.
     pub async fn admit(&self, head: &CallHead) -> Result<CallPass, DeskRefusal> {
+        let until_ms = steady_ms() + patience_ms(head.limit_ms);
         let config = self.config()?;
-        match pass(&config, head) {
+        match pass(&config, head, until_ms) {
             Ok(pass) if self.age_ms() <= CONFIG_AGE_MAX_MS => return Ok(pass),
+            // The newest that can be had; a job still has to be stored.
+            Ok(pass) if self.is_away() => return Ok(pass),
+            Err(_) if self.is_away() => return Err(self.away("the store is away")),
             Err(refusal) if self.age_ms() <= REFUSAL_AGE_MAX_MS => return Err(refusal),
             _ => {}
         }
         let checked = self.parts.refresh_config();
         match timeout(Duration::from_millis(CHECK_LIMIT_MS), checked).await {
-            Ok(Ok(())) => pass(&*self.config()?, head),
-            Ok(Err(failure)) => Err(away(failure)),
-            Err(_) => Err(away("the configuration could not be checked")),
+            Ok(Ok(())) => pass(&*self.config()?, head, until_ms),
+            Ok(Err(failure)) => Err(self.away(failure)),
+            Err(_) => Err(self.away("the configuration could not be checked")),
+        }
+    }
+
+    fn is_away(&self) -> bool {
+        self.parts.store.health().is_away(steady_ms())
+    }
+
+    /// Refuses a call that cannot be served while the store is away.
+    fn away(&self, reason: impl ToString) -> DeskRefusal {
+        let retry_ms = self
+            .parts
+            .store
+            .health()
+            .return_ms(steady_ms(), rand::random());
+        DeskRefusal::NotRun {
+            retry_ms,
+            reason: reason.to_string(),
         }
     }
 
     fn config(&self) -> Result<Rc<WorkConfig>, DeskRefusal> {
         let config = self.parts.board.current();
-        config.ok_or_else(|| away("no configuration yet"))
+        config.ok_or_else(|| self.away("no configuration yet"))
     }
 
     fn age_ms(&self) -> u64 {
@@ -170,7 +182,7 @@
         };
         let entry = KeyedValue::from(&WorkFact::Job(id.clone(), Box::new(fact)));
         let begun_ms = steady_ms();
-        let result = self.store(entry, pass.limit_ms).await;
+        let result = self.store(entry, pass.until_ms).await;
         let took_ms = steady_ms() - begun_ms;
         metrics::histogram!("hemlockramp_submit_seconds").record(took_ms as f64 / 1_000.0);
         count_outcome(&result);
@@ -205,7 +217,7 @@
             return Ok(());
         }
         let entry = KeyedValue::from(&WorkFact::Cancel(id.clone()));
-        let result = self.store(entry, pass.limit_ms).await;
+        let result = self.store(entry, pass.until_ms).await;
         log::info!(job = id.as_str(), outcome:? = result; "desk: a job was taken back.");
         result
     }
@@ -223,36 +235,41 @@
     }
 
     async fn check_jobs(&self) -> Result<(), DeskRefusal> {
+        if self.is_away() {
+            return Err(self.away("the store is away"));
+        }
         let checked = self.parts.refresh_jobs();
         match timeout(Duration::from_millis(CHECK_LIMIT_MS), checked).await {
             Ok(Ok(())) => Ok(()),
-            Ok(Err(failure)) => Err(away(failure)),
-            Err(_) => Err(away("the jobs could not be checked")),
+            Ok(Err(failure)) => Err(self.away(failure)),
+            Err(_) => Err(self.away("the jobs could not be checked")),
         }
     }
 
     /// Appends a fact, again and again while the caller waits: the same fact may stand twice.
-    async fn store(&self, entry: KeyedValue, limit_ms: u64) -> Result<(), DeskRefusal> {
-        let patience_ms = limit_ms
-            .saturating_sub(ANSWER_RESERVE_MS)
-            .min(STORE_PATIENCE_MS);
-        let until_ms = steady_ms() + patience_ms;
-        let call = StoreCall::add_fact(entry);
+    async fn store(&self, entry: KeyedValue, until_ms: u64) -> Result<(), DeskRefusal> {
+        if self.is_away() {
+            return Err(self.away("the store is away"));
+        }
         let mut unsure = false;
         loop {
             let left_ms = until_ms.saturating_sub(steady_ms());
             let limit = Duration::from_millis(left_ms.max(1));
-            match timeout(limit, self.parts.call_store(&call)).await {
-                Ok(Ok(_)) => return Ok(()),
+            match timeout(limit, self.parts.store_fact(&entry)).await {
+                Ok(Ok(())) => return Ok(()),
                 Ok(Err(StoreFailure::Unknown(_))) | Err(_) => unsure = true,
                 Ok(Err(failure)) => {
                     log::debug!(failure:% = failure; "desk: a fact was not stored.");
                 }
             }
-            if steady_ms() + STORE_RETRY_MS >= until_ms {
+            let given_up = match unsure {
+                true => steady_ms() + STORE_RETRY_MS >= until_ms,
+                false => self.is_away() || steady_ms() + STORE_RETRY_MS >= until_ms,
+            };
+            if given_up {
                 return Err(match unsure {
                     true => DeskRefusal::Unsure,
-                    false => away("the store is away"),
+                    false => self.away("the store is away"),
                 });
             }
             tokio::time::sleep(Duration::from_millis(STORE_RETRY_MS)).await;
@@ -269,7 +286,14 @@
     metrics::counter!("hemlockramp_submits_total", "outcome" => outcome).increment(1);
 }
 
-fn pass(config: &WorkConfig, head: &CallHead) -> Result<CallPass, DeskRefusal> {
+/// Returns how long a caller's call may be worked on, in ms.
+fn patience_ms(limit_ms: u64) -> u64 {
+    limit_ms
+        .saturating_sub(ANSWER_RESERVE_MS)
+        .min(STORE_PATIENCE_MS)
+}
+
+fn pass(config: &WorkConfig, head: &CallHead, until_ms: u64) -> Result<CallPass, DeskRefusal> {
     let route: &RouteRow = config
         .route(&head.host, &head.path)
         .ok_or(DeskRefusal::UnknownRoute)?;
@@ -278,16 +302,16 @@
         CallerIdentity::Public => None,
         CallerIdentity::Unknown => return Err(DeskRefusal::UnknownKey),
     };
-    let limit_ms = match route.answer_ms {
-        0 => head.limit_ms,
-        own => head.limit_ms.min(own),
+    let until_ms = match route.answer_ms {
+        0 => until_ms,
+        own => until_ms.min(steady_ms() + patience_ms(own)),
     };
     Ok(CallPass {
         queue: route.queue.clone(),
         rule: route.rule.clone(),
         team,
         rest: head.path[route.prefix.len()..].to_owned(),
-        limit_ms,
+        until_ms,
         body_max_bytes: config.body_max_bytes,
     })
 }
--- a/src/work/follow.rs
+++ b/src/work/follow.rs
@@ -8,7 +8,7 @@
 
 /// How long a read waits at the store for news, in ms. It bounds how long a connection that
 /// has gone silent can hide a change.
-const READ_WAIT_MS: u64 = 600;
+pub(super) const READ_WAIT_MS: u64 = 600;
 /// Pause after a call that failed, in ms.
 const RETRY_MS: u64 = 80;
 
--- a/src/work/host.rs
+++ b/src/work/host.rs
@@ -11,9 +11,9 @@
 use crate::work::follow::{StreamFollower, StreamSink};
 use crate::work::host_parts::{HostIdentity, HostParts, steady_ms};
 use crate::work::owner_loop::run_owner_loop;
-use crate::work::peers::{PeerRing, serve_peers};
+use crate::work::peers::{PeerRing, PeerService, serve_peers};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
-use crate::work::stream::{KeyedValue, StoreCall, StreamName, StreamRecord};
+use crate::work::stream::{KeyedValue, StoreCall, StoreFailure, StreamName, StreamRecord};
 
 /// Pause between two reads of jobs on a host that does not own the pool, in ms.
 const JOBS_PAUSE_MS: u64 = 200;
@@ -103,9 +103,28 @@
     parts: &Rc<HostParts<S, O, R>>,
     listener: TcpListener,
 ) {
-    let own = Rc::clone(parts);
-    let direct = move || (!own.store.is_turned_away()).then(|| own.store.direct().clone());
-    tokio::task::spawn_local(serve_peers(listener, Rc::new(direct)));
+    let service = HostService {
+        parts: Rc::clone(parts),
+    };
+    tokio::task::spawn_local(serve_peers(listener, Rc::new(service)));
+}
+
+/// What this host does for its peers.
+struct HostService<S, O, R> {
+    parts: Rc<HostParts<S, O, R>>,
+}
+
+impl<S: StorePort, O: OrderPort, R: RecordReader> PeerService for HostService<S, O, R> {
+    type Store = S;
+
+    fn store(&self) -> Option<S> {
+        let store = &self.parts.store;
+        (!store.is_turned_away()).then(|| store.direct().clone())
+    }
+
+    async fn record(&self, entry: KeyedValue) -> Result<(), StoreFailure> {
+        self.parts.intake.record(entry).await
+    }
 }
 
 fn spawn_followers<S: StorePort, O: OrderPort, R: RecordReader>(parts: &Rc<HostParts<S, O, R>>) {
--- a/src/work/host_parts.rs
+++ b/src/work/host_parts.rs
@@ -1,6 +1,7 @@
 //! What the tasks of one host share.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -11,11 +12,14 @@
 use crate::work::clock::HostTime;
 use crate::work::config_board::ConfigBoard;
 use crate::work::fact_table::{FactTable, TableChange};
+use crate::work::intake::FactIntake;
 use crate::work::owner::{OwnerTiming, PoolOwner};
 use crate::work::peers::PeerRing;
 use crate::work::ports::{RecordReader, StorePort};
 use crate::work::relay::RelayStore;
-use crate::work::stream::{StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord};
+use crate::work::stream::{
+    KeyedValue, StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord,
+};
 use crate::work::succession::SuccessionWatch;
 
 /// Time for the store to answer, on top of a call's own wait, in ms.
@@ -73,6 +77,8 @@
     pub watch: RefCell<SuccessionWatch>,
     /// The owner's state while this host owns the pool.
     pub owner: RefCell<Option<PoolOwner>>,
+    /// Facts that wait for the owner's next append.
+    pub intake: FactIntake,
     /// Wakes the owner's loop.
     pub wake: Notify,
     /// Whether the host shuts down.
@@ -101,6 +107,7 @@
             board: ConfigBoard::default(),
             watch: RefCell::new(watch),
             owner: RefCell::new(None),
+            intake: FactIntake::default(),
             wake: Notify::new(),
             draining: Cell::new(false),
         }
@@ -126,6 +133,45 @@
         self.store.call(call, limit).await
     }
 
+    /// Stores a fact with the owner's next append, or by an append of its own.
+    ///
+    /// # Errors
+    ///
+    /// The failure after which less is certain.
+    pub async fn store_fact(&self, entry: &KeyedValue) -> Result<(), StoreFailure> {
+        let before = match self.record_with_owner(entry).await {
+            Ok(()) => return Ok(()),
+            Err(failure) => failure,
+        };
+        let call = StoreCall::add_fact(entry.clone());
+        match (self.call_store(&call).await, before) {
+            (Ok(_), _) => Ok(()),
+            (Err(_), before @ StoreFailure::Unknown(_)) => Err(before),
+            (Err(failure), _) => Err(failure),
+        }
+    }
+
+    async fn record_with_owner(&self, entry: &KeyedValue) -> Result<(), StoreFailure> {
+        if self.is_owner() {
+            return self.intake.record(entry.clone()).await;
+        }
+        let unknown = || StoreFailure::NotDone("no owner is known".to_owned());
+        let link = self.owner_address().and_then(|at| self.peers.link_to(at));
+        let link = link.ok_or_else(unknown)?;
+        let result = link.record(entry).await;
+        if result.is_err() {
+            self.peers.blame(&link);
+        }
+        result
+    }
+
+    fn owner_address(&self) -> Option<SocketAddr> {
+        let table = self.table.borrow();
+        let owner = &table.owner.as_ref()?.fact.host;
+        let host = table.hosts.iter().find(|host| host.name == *owner)?;
+        Some(host.fact.address)
+    }
+
     /// Applies records of the stream of jobs.
     pub fn apply_jobs(&self, records: &[StreamRecord]) {
         for record in records {
--- a/src/work/owner_loop.rs
+++ b/src/work/owner_loop.rs
@@ -11,6 +11,7 @@
 use crate::work::fact::WorkFact;
 use crate::work::follow::{StreamFollower, StreamSink};
 use crate::work::host_parts::{HostParts, host_time, steady_ms};
+use crate::work::intake::IntakeRow;
 use crate::work::owner::{PoolOwner, RowBatch, UpstreamOrder};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 use crate::work::stream::{
@@ -58,7 +59,8 @@
     let now_ms = steady_ms();
     let mut watch = parts.watch.borrow_mut();
     watch.note_ready(now_ms);
-    watch.is_due(parts.table.borrow().owner.as_ref(), now_ms)
+    let allowance_ms = parts.store.health().allowance_ms();
+    watch.is_due(parts.table.borrow().owner.as_ref(), now_ms, allowance_ms)
 }
 
 /// Appends of the owner to one stream, in order.
@@ -69,7 +71,8 @@
 }
 
 impl OwnerWriter {
-    /// Appends until it is done, or until another owner is seen.
+    /// Appends until it is done, or until another owner is seen; unknown if a try before that
+    /// may have been carried out.
     async fn append<S: StorePort, O, R>(
         &self,
         parts: &HostParts<S, O, R>,
@@ -81,12 +84,16 @@
             stamp: Some(stamp(self.term, self.next.get())),
             expected_end: None,
         };
+        let mut unsure = false;
         loop {
             match parts.call_store(&call).await {
                 Err(failure) if failure.is_transient() => {
                     log::debug!(failure:% = failure; "owner: rows are not recorded yet.");
+                    unsure |= matches!(failure, StoreFailure::Unknown(_));
                     tokio::time::sleep(Duration::from_millis(APPEND_RETRY_MS)).await;
                 }
+                // An earlier try may have been carried out before the other owner came.
+                Err(failure) if unsure => return Err(StoreFailure::Unknown(failure.to_string())),
                 other => {
                     self.next.set(self.next.get() + 1);
                     return other;
@@ -304,32 +311,64 @@
 
     /// Writes phases and signs of life until the run ends and all is written.
     async fn write_jobs(self) {
+        self.parts.intake.open(self.term);
         loop {
             let mut queued = std::mem::take(&mut *self.job_rows.borrow_mut());
-            if queued.is_empty() && self.ended.get() {
-                return;
-            }
-            if queued.is_empty() {
+            let taken = self.parts.intake.take(self.term);
+            if queued.is_empty() && taken.is_empty() {
+                if self.ended.get() {
+                    break;
+                }
                 let pause = tokio::time::sleep(Duration::from_millis(SIGN_MS));
                 tokio::select! {
                     () = self.job_wake.notified() => continue,
+                    () = self.parts.intake.waiting() => continue,
                     () = pause => {}
                 }
             }
-            if queued.rows.is_empty() {
+            if queued.rows.is_empty() && !self.ended.get() {
                 let fact = owner_fact(&self.parts, self.term, false);
                 queued.rows.push(KeyedValue::from(&WorkFact::Owner(fact)));
             }
-            let sent_ms = steady_ms();
-            match self.jobs.append(&self.parts, queued.rows).await {
-                Ok(_) => self.proved_ms.set(sent_ms.max(self.proved_ms.get())),
-                Err(failure) => {
-                    self.end(&failure.to_string());
-                    return;
-                }
+            if !self.append_jobs(queued.rows, taken).await {
+                break;
             }
             let _ = self.with_owner(|owner| owner.drop_rows(queued.finished));
         }
+        self.parts.intake.close(self.term);
+    }
+
+    /// Appends the owner's rows and the facts of other hosts; returns whether they are stored.
+    async fn append_jobs(&self, mut rows: Vec<KeyedValue>, taken: Vec<IntakeRow>) -> bool {
+        let own = rows.len();
+        rows.extend(taken.iter().map(|row| row.entry.clone()));
+        let sent_ms = steady_ms();
+        match self.jobs.append(&self.parts, rows).await {
+            Ok(reply) => {
+                self.proved_ms.set(sent_ms.max(self.proved_ms.get()));
+                self.take_stored(taken, reply.first + own as u64);
+                true
+            }
+            Err(failure) => {
+                for row in taken {
+                    row.close(Err(failure.clone()));
+                }
+                self.end(&failure.to_string());
+                false
+            }
+        }
+    }
+
+    /// Takes over facts that this host has stored, without waiting to read them.
+    fn take_stored(&self, taken: Vec<IntakeRow>, first: u64) {
+        for (offset, row) in (first..).zip(taken) {
+            let record = StreamRecord {
+                offset,
+                entry: row.entry.clone(),
+            };
+            self.parts.apply_jobs(&[record]);
+            row.close(Ok(()));
+        }
     }
 
     async fn carry_out(self, order: UpstreamOrder) {
--- a/src/work/peers.rs
+++ b/src/work/peers.rs
@@ -16,12 +16,19 @@
 use crate::wire::peer::{PeerBody, PeerCall, PeerFrame, PeerReply};
 use crate::work::host_parts::steady_ms;
 use crate::work::ports::StorePort;
-use crate::work::stream::{StoreCall, StoreFailure, StoreReply};
+use crate::work::stream::{KeyedValue, StoreCall, StoreFailure, StoreReply};
 
 /// How long a peer that failed is asked last, in ms.
 const BLAME_MS: u64 = 2_000;
 /// Time for the store to answer a peer's call, in ms.
 const PASSED_LIMIT_MS: u64 = 500;
+/// Silence of a peer after which its answer is not waited for, in ms. Pings come every half
+/// second.
+const QUIET_MS: u64 = 800;
+/// Time between two looks at it, in ms.
+const QUIET_POLL_MS: u64 = 100;
+/// Time without use after which a link is given up, in ms.
+const IDLE_MS: u64 = 5_000;
 /// Longest time for a link's call, in ms; its caller has a shorter one.
 const LINK_LIMIT_MS: u64 = 10_000;
 /// Pause after a connection could not be accepted, in ms.
@@ -49,6 +56,47 @@
             Err(failure) => Err(failure.into()),
         }
     }
+
+    /// Asks the owner to store a fact with its next append, and waits for as long as the owner
+    /// is heard.
+    ///
+    /// # Errors
+    ///
+    /// As the append ended, or the link's failure.
+    pub async fn record(&self, entry: &KeyedValue) -> Result<(), StoreFailure> {
+        let limit = Duration::from_millis(LINK_LIMIT_MS);
+        let reply = self.link.call(PeerCall::Record(entry.clone()), limit);
+        let reply = tokio::select! {
+            reply = reply => reply,
+            () = self.falls_quiet() => {
+                return Err(StoreFailure::Unknown("the owner is not heard".to_owned()));
+            }
+        };
+        match reply {
+            Ok(PeerReply::Recorded(result)) => result,
+            Ok(_) => Err(StoreFailure::Unknown("the owner answered amiss".to_owned())),
+            Err(failure) => Err(failure.into()),
+        }
+    }
+
+    /// Waits until the peer has not been heard for too long.
+    async fn falls_quiet(&self) {
+        while self.link.quiet_ms() < QUIET_MS {
+            tokio::time::sleep(Duration::from_millis(QUIET_POLL_MS)).await;
+        }
+    }
+}
+
+/// What a host does for its peers.
+pub trait PeerService: 'static {
+    /// The store as this host reaches it.
+    type Store: StorePort;
+
+    /// Returns the store, unless it turns this host away as well.
+    fn store(&self) -> Option<Self::Store>;
+
+    /// Stores a fact with the owner's next append.
+    fn record(&self, entry: KeyedValue) -> impl Future<Output = Result<(), StoreFailure>>;
 }
 
 impl From<CallFailure> for StoreFailure {
@@ -64,9 +112,24 @@
 struct PeerRow {
     address: SocketAddr,
     link: Option<PeerLink>,
+    used_ms: u64,
     blamed_ms: u64,
 }
 
+impl PeerRow {
+    /// Returns the link, opened if need be.
+    fn use_link(&mut self, now_ms: u64) -> StoreLink {
+        self.used_ms = now_ms;
+        let address = self.address;
+        let link = self.link.get_or_insert_with(|| PeerLink::start(address));
+        StoreLink { link: link.clone() }
+    }
+
+    fn is_blamed(&self, now_ms: u64) -> bool {
+        self.blamed_ms != 0 && now_ms < self.blamed_ms + BLAME_MS
+    }
+}
+
 /// The other hosts, asked in turn.
 #[derive(Debug, Default)]
 pub struct PeerRing {
@@ -82,6 +145,7 @@
             rows.push(PeerRow {
                 address,
                 link: None,
+                used_ms: 0,
                 blamed_ms: 0,
             });
         }
@@ -102,19 +166,33 @@
         // A link that is open already answers sooner.
         order.sort_by_key(|&index| {
             let row = &rows[index];
-            let blamed = row.blamed_ms != 0 && now_ms < row.blamed_ms + BLAME_MS;
-            (blamed, row.link.is_none())
+            (row.is_blamed(now_ms), row.link.is_none())
         });
         let mut links = Vec::new();
         for index in order.into_iter().take(count) {
-            let row = &mut rows[index];
-            let address = row.address;
-            let link = row.link.get_or_insert_with(|| PeerLink::start(address));
-            links.push(StoreLink { link: link.clone() });
+            links.push(rows[index].use_link(now_ms));
         }
         links
     }
 
+    /// Returns the link to one peer; none if it is not known or failed lately.
+    pub fn link_to(&self, address: SocketAddr) -> Option<StoreLink> {
+        let now_ms = steady_ms();
+        let mut rows = self.rows.borrow_mut();
+        let row = rows.iter_mut().find(|row| row.address == address)?;
+        if row.is_blamed(now_ms) {
+            return None;
+        }
+        let link = row.use_link(now_ms);
+        // An owner before this one is not asked any more.
+        for row in rows.iter_mut() {
+            if row.used_ms + IDLE_MS < now_ms {
+                row.link = None;
+            }
+        }
+        Some(link)
+    }
+
     /// Notes that a peer could not help.
     pub fn blame(&self, link: &StoreLink) {
         let address = link.link.address();
@@ -126,12 +204,23 @@
     }
 }
 
+async fn pass_on(
+    direct: Option<impl StorePort>,
+    call: &StoreCall,
+) -> Result<StoreReply, StoreFailure> {
+    let limit = Duration::from_millis(PASSED_LIMIT_MS);
+    match direct {
+        Some(direct) => direct.call(call, limit).await,
+        None => Err(StoreFailure::NotDone("turned away as well".to_owned())),
+    }
+}
+
 /// Serves peers for ever: their calls to the store are passed on, but never to a third host.
-pub async fn serve_peers<S: StorePort>(listener: TcpListener, store: Rc<dyn Fn() -> Option<S>>) {
+pub async fn serve_peers(listener: TcpListener, service: Rc<impl PeerService>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_peer(stream, Rc::clone(&store)));
+                tokio::task::spawn_local(serve_peer(stream, Rc::clone(&service)));
             }
             Err(error) => {
                 log::warn!("peers: a connection was not accepted: {error}.");
@@ -141,7 +230,7 @@
     }
 }
 
-async fn serve_peer<S: StorePort>(stream: TcpStream, store: Rc<dyn Fn() -> Option<S>>) {
+async fn serve_peer(stream: TcpStream, service: Rc<impl PeerService>) {
     // Without it replies come late, never wrong.
     let _ = stream.set_nodelay(true);
     let Ok(socket) = accept_async(stream).await else {
@@ -165,29 +254,28 @@
             continue;
         }
         if let Some(frame) = decode_frame(&message) {
-            tokio::task::spawn_local(pass_on(frame, store(), replies.clone()));
+            tokio::task::spawn_local(serve_frame(frame, Rc::clone(&service), replies.clone()));
         }
     }
     drop(replies);
     writer.abort();
 }
 
-async fn pass_on<S: StorePort>(
+async fn serve_frame(
     frame: PeerFrame,
-    direct: Option<S>,
+    service: Rc<impl PeerService>,
     replies: mpsc::Sender<Message>,
 ) {
-    let PeerBody::Call(PeerCall::Store(call)) = frame.body else {
-        return;
-    };
-    let limit = Duration::from_millis(PASSED_LIMIT_MS);
-    let result = match direct {
-        Some(direct) => direct.call(&call, limit).await,
-        None => Err(StoreFailure::NotDone("turned away as well".to_owned())),
+    let reply = match frame.body {
+        PeerBody::Call(PeerCall::Store(call)) => {
+            PeerReply::Store(pass_on(service.store(), &call).await)
+        }
+        PeerBody::Call(PeerCall::Record(entry)) => PeerReply::Recorded(service.record(entry).await),
+        _ => return,
     };
     let reply = PeerFrame {
         id: frame.id,
-        body: PeerBody::Reply(Box::new(Ok(PeerReply::Store(result)))),
+        body: PeerBody::Reply(Box::new(Ok(reply))),
     };
     if let Some(message) = encode_frame(&reply) {
         // The peer may be gone; it then knows that its call may have been done.
--- a/src/work/relay.rs
+++ b/src/work/relay.rs
@@ -4,7 +4,7 @@
 //! serves the others. Reads and stamped appends may be tried twice; so may facts, which are
 //! the same however often they stand in the stream.
 
-use std::cell::Cell;
+use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +13,7 @@
 use crate::work::host_parts::steady_ms;
 use crate::work::peers::PeerRing;
 use crate::work::ports::StorePort;
+use crate::work::store_health::StoreHealth;
 use crate::work::stream::{StoreCall, StoreFailure, StoreReply};
 
 /// How long the direct way is left alone after it failed, in ms.
@@ -31,6 +32,7 @@
     peers: Rc<PeerRing>,
     failures: Rc<Cell<u32>>,
     rest_until_ms: Rc<Cell<u64>>,
+    health: Rc<RefCell<StoreHealth>>,
 }
 
 impl<S: StorePort> RelayStore<S> {
@@ -41,6 +43,7 @@
             peers,
             failures: Rc::default(),
             rest_until_ms: Rc::default(),
+            health: Rc::default(),
         }
     }
 
@@ -51,7 +54,26 @@
 
     /// Returns whether the direct way has failed lately.
     pub fn is_turned_away(&self) -> bool {
-        self.failures.get() >= DIRECT_FAILURES_MAX && steady_ms() < self.rest_until_ms.get()
+        self.failures.get() >= DIRECT_FAILURES_MAX
+    }
+
+    /// Returns what is known of the store's answers by any way.
+    pub fn health(&self) -> Ref<'_, StoreHealth> {
+        self.health.borrow()
+    }
+
+    /// Returns whether a call tries the direct way first. While it fails, one call does so now
+    /// and then, and the others are spared its limit.
+    fn tries_directly(&self) -> bool {
+        if !self.is_turned_away() {
+            return true;
+        }
+        let now_ms = steady_ms();
+        let rested = now_ms >= self.rest_until_ms.get();
+        if rested {
+            self.rest_until_ms.set(now_ms + DIRECT_REST_MS);
+        }
+        rested
     }
 
     async fn call_direct(
@@ -82,9 +104,13 @@
         result
     }
 
-    async fn call_peers(&self, call: &StoreCall) -> Result<StoreReply, StoreFailure> {
+    async fn call_peers(
+        &self,
+        call: &StoreCall,
+        limit: Duration,
+    ) -> Result<StoreReply, StoreFailure> {
         let mut last = StoreFailure::NotDone("no peer is known".to_owned());
-        let limit = Duration::from_millis(PEER_LIMIT_MS + call.wait_ms());
+        let limit = limit.min(Duration::from_millis(PEER_LIMIT_MS)) + call_wait(call);
         for peer in self.peers.next_links(PEERS_PER_CALL) {
             let result = match timeout(limit, peer.call_store(call)).await {
                 Ok(result) => result,
@@ -102,6 +128,10 @@
     }
 }
 
+fn call_wait(call: &StoreCall) -> Duration {
+    Duration::from_millis(call.wait_ms())
+}
+
 /// Keeps the failure after which less is certain.
 fn worse(left: StoreFailure, right: StoreFailure) -> StoreFailure {
     match left {
@@ -110,19 +140,80 @@
     }
 }
 
+/// A call on its way; dropped, it is one that its caller gave up.
+struct CallWatch<'a> {
+    health: &'a RefCell<StoreHealth>,
+    sent_ms: u64,
+    wait_ms: u64,
+    ended: bool,
+}
+
+impl<'a> CallWatch<'a> {
+    fn start(health: &'a RefCell<StoreHealth>, call: &StoreCall) -> Self {
+        let sent_ms = steady_ms();
+        health.borrow_mut().sent(sent_ms, call.wait_ms());
+        Self {
+            health,
+            sent_ms,
+            wait_ms: call.wait_ms(),
+            ended: false,
+        }
+    }
+
+    fn end(mut self, result: &Result<StoreReply, StoreFailure>) {
+        self.ended = true;
+        let now_ms = steady_ms();
+        let mut health = self.health.borrow_mut();
+        match result {
+            Err(failure) if failure.is_transient() => health.failed(now_ms),
+            result => {
+                let news = result.as_ref().is_ok_and(|reply| !reply.records.is_empty());
+                // A read with news may have been answered at any time of its wait.
+                let known = self.wait_ms == 0 || !news;
+                let took_ms = now_ms.saturating_sub(self.sent_ms + self.wait_ms);
+                health.answered(now_ms, known.then_some(took_ms));
+            }
+        }
+    }
+}
+
+impl Drop for CallWatch<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.health.borrow_mut().dropped();
+        }
+    }
+}
+
 impl<S: StorePort> StorePort for RelayStore<S> {
     async fn call(&self, call: &StoreCall, limit: Duration) -> Result<StoreReply, StoreFailure> {
-        let directly_first = !self.is_turned_away();
+        let watch = CallWatch::start(&self.health, call);
+        let allowance_ms = self.health.borrow().allowance_ms();
+        let limit = limit + Duration::from_millis(allowance_ms);
+        let result = self.call_any(call, limit).await;
+        watch.end(&result);
+        result
+    }
+}
+
+impl<S: StorePort> RelayStore<S> {
+    /// Calls by one way, then by the other.
+    async fn call_any(
+        &self,
+        call: &StoreCall,
+        limit: Duration,
+    ) -> Result<StoreReply, StoreFailure> {
+        let directly_first = self.tries_directly();
         let first = match directly_first {
             true => self.call_direct(call, limit).await,
-            false => self.call_peers(call).await,
+            false => self.call_peers(call, limit).await,
         };
         let before = match first {
             Err(failure) if failure.is_transient() => failure,
             other => return other,
         };
         let second = match directly_first {
-            true => self.call_peers(call).await,
+            true => self.call_peers(call, limit).await,
             false => self.call_direct(call, limit).await,
         };
         match second {
--- a/src/work/succession.rs
+++ b/src/work/succession.rs
@@ -73,7 +73,9 @@
     ///
     /// That a pool is vacant stands in the stream, so time alone decides who tries first; a
     /// silent owner is silent only while the store answers.
-    pub fn is_due(&self, owner: Option<&OwnerRow>, now_ms: u64) -> bool {
+    /// `allowance_ms` is the time that a slow store adds to each call: signs of life come so much
+    /// later, and hosts that try take so much longer to see each other.
+    pub fn is_due(&self, owner: Option<&OwnerRow>, now_ms: u64, allowance_ms: u64) -> bool {
         let Some(heard_ms) = self.heard_ms else {
             return false;
         };
@@ -81,7 +83,10 @@
         let since_ms = heard_ms.max(self.ready_ms.unwrap_or(heard_ms));
         match vacant {
             true => now_ms.saturating_sub(since_ms) >= self.share_of(VACANT_SPREAD_MS),
-            false => self.silent_ms >= OWNER_SILENT_MS + self.share_of(SPREAD_MS),
+            false => {
+                let limit_ms = OWNER_SILENT_MS + allowance_ms;
+                self.silent_ms >= limit_ms + self.share_of(SPREAD_MS + allowance_ms)
+            }
         }
     }
 
--- a/tests/work_decisions.rs
+++ b/tests/work_decisions.rs
@@ -10,6 +10,7 @@
 use hemlockramp::work::pace::{PaceWish, TaskProgress, UpstreamPace};
 use hemlockramp::work::patience::NearWait;
 use hemlockramp::work::place::{OpenUpstream, RoomClaim, UnitDemand, place_unit};
+use hemlockramp::work::store_health::StoreHealth;
 use hemlockramp::work::succession::{SuccessionWatch, gives_way, next_term};
 use hemlockramp::work::task_ref::TaskRef;
 
@@ -335,24 +336,24 @@
 fn a_silent_owner_is_replaced_but_a_silent_store_deposes_nobody() {
     let mut watch = SuccessionWatch::new(name("a"), 0.0);
     let other = owner("b", false);
-    assert!(!watch.is_due(None, 0), "the store has not answered yet");
+    assert!(!watch.is_due(None, 0, 0), "the store has not answered yet");
     watch.store_answered(0);
-    assert!(watch.is_due(None, 0));
-    assert!(watch.is_due(Some(&owner("b", true)), 0), "given up");
-    assert!(!watch.is_due(Some(&other), 0));
+    assert!(watch.is_due(None, 0, 0));
+    assert!(watch.is_due(Some(&owner("b", true)), 0, 0), "given up");
+    assert!(!watch.is_due(Some(&other), 0, 0));
     for now_ms in (0..1_300).step_by(100) {
         watch.store_answered(now_ms);
     }
-    assert!(!watch.is_due(Some(&other), 1_200));
+    assert!(!watch.is_due(Some(&other), 1_200, 0));
     // The store is away for ten seconds: that is no silence of the owner.
     watch.store_answered(11_200);
-    assert!(!watch.is_due(Some(&other), 11_200));
+    assert!(!watch.is_due(Some(&other), 11_200, 0));
     for now_ms in (11_200..11_600).step_by(100) {
         watch.store_answered(now_ms);
     }
-    assert!(watch.is_due(Some(&other), 11_500));
+    assert!(watch.is_due(Some(&other), 11_500, 0));
     watch.owner_heard(11_500);
-    assert!(!watch.is_due(Some(&other), 11_500));
+    assert!(!watch.is_due(Some(&other), 11_500, 0));
 }
 
 /// Load: all hosts start at once and the store's reads wait for news (seen on the grown sites:
@@ -363,17 +364,20 @@
     let mut small = SuccessionWatch::new(name("small"), 0.8);
     for watch in [&mut large, &mut small] {
         watch.store_answered(0);
-        assert!(!watch.is_due(None, 10));
+        assert!(!watch.is_due(None, 10, 0));
     }
-    assert!(large.is_due(None, 250), "before its next read is answered");
+    assert!(
+        large.is_due(None, 250, 0),
+        "before its next read is answered"
+    );
     // The read that was waiting is answered without news.
     small.store_answered(600);
-    assert!(!small.is_due(None, 600));
-    assert!(small.is_due(None, 1_000), "where no large host is left");
+    assert!(!small.is_due(None, 600, 0));
+    assert!(small.is_due(None, 1_000, 0), "where no large host is left");
     // Given up later on: the same from then.
     small.owner_heard(5_000);
-    assert!(!small.is_due(Some(&owner("b", true)), 5_100));
-    assert!(small.is_due(Some(&owner("b", true)), 6_000));
+    assert!(!small.is_due(Some(&owner("b", true)), 5_100, 0));
+    assert!(small.is_due(Some(&owner("b", true)), 6_000, 0));
 }
 
 /// Load: all hosts have read the stream when the first configuration comes (seen on the grown
@@ -387,9 +391,72 @@
         watch.note_ready(900);
         watch.note_ready(1_100);
     }
-    assert!(!small.is_due(None, 1_150));
-    assert!(large.is_due(None, 1_150));
-    assert!(small.is_due(None, 1_400), "where no large host is left");
+    assert!(!small.is_due(None, 1_150, 0));
+    assert!(large.is_due(None, 1_150, 0));
+    assert!(small.is_due(None, 1_400, 0), "where no large host is left");
+}
+
+/// Load: the store is fifty times slower, so that the owner's signs of life come late (seen on
+/// the grown sites: all hosts tried to own the pool, and their claims filled the store's queue).
+#[test]
+fn a_slow_store_gives_the_owner_more_time() {
+    let mut watch = SuccessionWatch::new(name("a"), 0.5);
+    let other = owner("b", false);
+    watch.store_answered(0);
+    for now_ms in [600, 1_200, 1_800, 2_400] {
+        watch.store_answered(now_ms);
+    }
+    assert!(watch.is_due(Some(&other), 2_400, 0));
+    assert!(!watch.is_due(Some(&other), 2_400, 1_500));
+    for now_ms in [3_000, 3_600, 4_200] {
+        watch.store_answered(now_ms);
+    }
+    assert!(watch.is_due(Some(&other), 4_200, 1_500));
+}
+
+/// Load: the store crawls, refuses, or goes silent under followers that always read.
+#[test]
+fn a_slow_store_is_not_taken_for_one_that_is_away() {
+    let mut health = StoreHealth::default();
+    assert!(!health.is_away(10_000), "nothing was asked");
+    // A read waits for news and is answered late, again and again.
+    let mut now_ms = 0;
+    for _ in 0..5 {
+        health.sent(now_ms, 600);
+        assert!(!health.is_away(now_ms + 1_000));
+        now_ms += 1_000;
+        health.answered(now_ms, Some(400));
+    }
+    assert_eq!(health.allowance_ms(), 1_600);
+    // Then no answer comes any more.
+    health.sent(now_ms, 600);
+    assert!(!health.is_away(now_ms + 1_400));
+    assert!(health.is_away(now_ms + 1_500));
+    health.failed(now_ms + 1_700);
+    assert!(health.is_away(now_ms + 1_700));
+    // One answer, and it is back.
+    health.sent(now_ms + 1_800, 0);
+    health.answered(now_ms + 1_810, Some(10));
+    assert!(!health.is_away(now_ms + 1_810));
+    assert_eq!(health.allowance_ms(), 40);
+}
+
+#[test]
+fn a_store_that_refuses_is_away_after_a_few_refusals() {
+    let mut health = StoreHealth::default();
+    health.sent(0, 0);
+    health.answered(5, Some(5));
+    for now_ms in [100, 200, 300] {
+        health.sent(now_ms, 0);
+        health.failed(now_ms);
+        assert!(!health.is_away(now_ms), "at {now_ms} ms");
+    }
+    health.sent(400, 0);
+    health.failed(400);
+    assert!(health.is_away(400));
+    assert_eq!(health.return_ms(400, 0.0), 1_000, "soon, at first");
+    assert_eq!(health.return_ms(6_005, 0.0), 3_000, "half of its absence");
+    assert_eq!(health.return_ms(60_000, 0.5), 4_500, "and spread");
 }
 
 struct WayCase {
