Reclaim guarantees from urgent work beyond them; free what is kept for a placed unit

Claims now have a rank: inside a guarantee, urgent beyond it, then by priority; of a team's running jobs those accepted first are inside. Room kept for a unit was looked at again after 0.6 s, before a stop of 0.9 s is over, and what was kept elsewhere for a unit stayed kept after it was placed; both mended.

Tests: a_guarantee_is_reclaimed_from_urgent_work_beyond_guarantees fails with the rank taken out.

--- a/src/work/displace.rs
+++ b/src/work/displace.rs
@@ -1,6 +1,6 @@
 //! Which running work makes room for a higher claim.
 //!
-//! Answers this pattern: urgent gangs arrive while the pool is full of small work that may
+//! Answers this pattern: urgent gangs, or gangs inside a guarantee, arrive while the pool is full of small work that may
 //! wait. Room is made place by place, on the upstreams where the least work is thrown away,
 //! within one rack where the gang wants that; only whole units are displaced.
 
@@ -17,8 +17,8 @@
     pub need: ResourceAmount,
     /// Work that would have to be done again, in thousandths of a core x ms.
     pub lost: u64,
-    /// Priority of its queue.
-    pub priority: u32,
+    /// How good its claim is; lower is better.
+    pub rank: u32,
 }
 
 /// Room for one task, made by displacing units.
@@ -68,13 +68,13 @@
     Some(all)
 }
 
-/// For each upstream the victims on it: the least urgent first, then those that lose least.
+/// For each upstream the victims on it: the weakest claims first, then those that lose least.
 fn sort_by_upstream(upstreams: usize, victims: &[&VictimUnit]) -> Vec<Vec<usize>> {
     let mut sorted = vec![Vec::new(); upstreams];
     let mut order: Vec<usize> = (0..victims.len()).collect();
     order.sort_by_key(|&index| {
         let victim = victims[index];
-        (std::cmp::Reverse(victim.priority), victim.lost)
+        (std::cmp::Reverse(victim.rank), victim.lost)
     });
     for index in order {
         for &upstream in &victims[index].upstreams {
--- a/src/work/owner/make_room.rs
+++ b/src/work/owner/make_room.rs
@@ -8,8 +8,9 @@
 use crate::work::owner::open_pool::OpenPool;
 use crate::work::place::{OpenUpstream, RoomClaim, UnitDemand, place_unit};
 
-/// How long room is kept for a unit before it is looked at again, in ms.
-const RESERVE_MS: u64 = 600;
+/// How long room is kept for a unit before it is looked at again, in ms, beyond the time that
+/// a stop takes.
+const RESERVE_MS: u64 = 400;
 /// Waiting units, beside urgent ones, for which room is kept.
 const RESERVED_UNITS_MAX: usize = 4;
 /// Time until it must start below which a unit's room is made rather than waited for, in ms.
@@ -24,7 +25,6 @@
     pub(super) waiting: &'a WaitingUnit,
     pub(super) demand: &'a UnitDemand,
     pub(super) claim: RoomClaim,
-    pub(super) job: usize,
 }
 
 /// A unit that may be displaced, and where it stands.
@@ -72,16 +72,16 @@
         if hurry {
             self.make_room(blocked, pool, &leaving);
         } else {
-            let lower = self.room_without_lower(blocked.claim.priority, pool);
+            let lower = self.room_without_lower(blocked.claim.rank, pool);
             if let Some(chosen) = place_unit(blocked.demand, &blocked.claim, &lower) {
                 self.reserve(blocked, pool, &chosen);
             }
         }
     }
 
-    /// Displaces work of less urgent queues.
+    /// Displaces work of weaker claims.
     fn make_room(&mut self, blocked: &BlockedUnit, pool: &mut OpenPool, leaving: &[OpenUpstream]) {
-        let running = self.running_victims(blocked.job, pool);
+        let running = self.running_victims(blocked.claim.rank, pool);
         let victims: Vec<&VictimUnit> = running.iter().map(|one| &one.victim).collect();
         let chosen = choose_victims(blocked.demand, &blocked.claim, leaving, &victims);
         for index in chosen.unwrap_or_default() {
@@ -109,11 +109,12 @@
         })
     }
 
-    /// Returns the open upstreams as they would be without less urgent work.
-    fn room_without_lower(&self, priority: u32, pool: &OpenPool) -> Vec<OpenUpstream> {
+    /// Returns the open upstreams as they would be without work of weaker claims.
+    fn room_without_lower(&self, rank: u32, pool: &OpenPool) -> Vec<OpenUpstream> {
+        let ranks = self.running_ranks();
         self.room_without(pool, |job, unit| {
             let lasting = self.jobs[job].step(unit).lasting;
-            !lasting && self.rule(job).priority > priority
+            !lasting && ranks[job] > rank
         })
     }
 
@@ -135,7 +136,7 @@
     }
 
     fn reserve(&mut self, blocked: &BlockedUnit, pool: &mut OpenPool, chosen: &[usize]) {
-        let until_ms = self.now.steady_ms + RESERVE_MS;
+        let until_ms = self.now.steady_ms + self.timing.stop_ms + RESERVE_MS;
         for &index in chosen {
             let upstream = &mut self.upstreams[pool.rows[index]];
             upstream.reserved = Some(blocked.claim.clone());
@@ -144,25 +145,31 @@
         }
     }
 
-    /// Returns running units of less urgent queues in the same pool.
-    fn running_victims(&self, job: usize, pool: &OpenPool) -> Vec<RunningVictim> {
-        let priority = self.rule(job).priority;
+    /// Returns running units with weaker claims in the same pool.
+    fn running_victims(&self, rank: u32, pool: &OpenPool) -> Vec<RunningVictim> {
+        let ranks = self.running_ranks();
         let mut victims = Vec::new();
         for (other, state) in self.jobs.iter().enumerate() {
-            if self.rule(other).priority <= priority {
+            if ranks[other] <= rank {
                 continue;
             }
             for unit in 0..state.units.len() {
                 let may_go = state.units[unit].phase == UnitPhase::Active;
                 if may_go && !state.step(unit).lasting {
-                    victims.extend(self.running_victim(other, unit, pool));
+                    victims.extend(self.running_victim(other, unit, ranks[other], pool));
                 }
             }
         }
         victims
     }
 
-    fn running_victim(&self, job: usize, unit: usize, pool: &OpenPool) -> Option<RunningVictim> {
+    fn running_victim(
+        &self,
+        job: usize,
+        unit: usize,
+        rank: u32,
+        pool: &OpenPool,
+    ) -> Option<RunningVictim> {
         let state = &self.jobs[job];
         let step = state.step(unit);
         let position = |name: &ObjectName| {
@@ -192,7 +199,7 @@
                 upstreams,
                 need: step.need,
                 lost: done_ms * step.need.weight_milli() * tasks * times,
-                priority: self.rule(job).priority,
+                rank,
             },
             job,
             unit,
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -11,7 +11,9 @@
 use crate::work::owner::upstream_state::HeldTask;
 use crate::work::pace::PaceWish;
 use crate::work::patience::NearWait;
-use crate::work::place::{OpenUpstream, RoomClaim, UnitDemand, fits_a_rack, place_unit};
+use crate::work::place::{
+    OpenUpstream, RoomClaim, UnitDemand, claim_rank, fits_a_rack, place_unit,
+};
 
 /// Guaranteed units for which room is sought in one round.
 const GUARANTEED_UNITS_MAX: usize = 6;
@@ -123,18 +125,35 @@
             if self.rule(job).priority != 0 {
                 continue;
             }
-            let held = self.held_accelerators(job);
-            match teams.binary_search_by(|row| row.team.cmp(team)) {
-                Ok(index) => teams[index].held += held,
-                Err(index) => {
-                    let team = team.clone();
-                    teams.insert(index, TeamUse { team, held });
-                }
-            }
+            add_use(&mut teams, team, self.held_accelerators(job));
         }
         teams
     }
 
+    /// Returns how good the claim of each job's running work is: of a team's urgent jobs, those
+    /// accepted first are inside its guarantee.
+    pub(super) fn running_ranks(&self) -> Vec<u32> {
+        let mut order: Vec<usize> = (0..self.jobs.len()).collect();
+        order.sort_by_key(|&job| self.jobs[job].fact.accepted_ms);
+        let mut teams: Vec<TeamUse> = Vec::new();
+        let mut ranks = vec![0; self.jobs.len()];
+        for job in order {
+            let priority = self.rule(job).priority;
+            let inside = priority == 0 && self.adds_inside(job, &mut teams);
+            ranks[job] = claim_rank(priority, inside);
+        }
+        ranks
+    }
+
+    /// Adds what a job holds to its team's use; returns whether the guarantee still covers it.
+    fn adds_inside(&self, job: usize, teams: &mut Vec<TeamUse>) -> bool {
+        let Some(team) = &self.jobs[job].fact.team else {
+            return false;
+        };
+        let held = add_use(teams, team, self.held_accelerators(job));
+        held <= self.config.guaranteed(team)
+    }
+
     /// Returns whether an urgent job fits what its team is guaranteed, beside what the team's
     /// other urgent jobs hold.
     fn is_guaranteed(&self, job: usize, teams: &[TeamUse]) -> bool {
@@ -293,7 +312,7 @@
             let claim = RoomClaim {
                 job: self.jobs[job].id.clone(),
                 unit,
-                priority,
+                rank: claim_rank(priority, candidate.waiting.guaranteed),
             };
             if !pool.spares(priority, &demand) {
                 return;
@@ -303,7 +322,6 @@
                     waiting: &candidate.waiting,
                     demand: &demand,
                     claim,
-                    job,
                 };
                 round.guaranteed += usize::from(alone);
                 self.claim_room(&blocked, pool, &mut round.reserved);
@@ -340,14 +358,6 @@
                 member,
                 need,
             });
-            let own = upstream
-                .reserved
-                .as_ref()
-                .is_some_and(|claim| claim.job == id);
-            if own {
-                upstream.reserved = None;
-                pool.open[index].reserved = None;
-            }
             pool.set_free(index, upstream.free());
             let place = MemberState {
                 phase: MemberPhase::Planned,
@@ -357,7 +367,33 @@
             };
             self.jobs[job].units[unit].members[member] = place;
         }
+        self.unreserve(&id, unit, pool);
         self.jobs[job].dirty = true;
         self.jobs[job].drive_due = true;
     }
+
+    /// Gives free what is kept for a unit.
+    fn unreserve(&mut self, job: &ObjectName, unit: usize, pool: &mut OpenPool) {
+        for (open, &row) in pool.open.iter_mut().zip(&pool.rows) {
+            let kept = open.reserved.as_ref();
+            if kept.is_some_and(|claim| claim.job == *job && claim.unit == unit) {
+                open.reserved = None;
+                self.upstreams[row].reserved = None;
+            }
+        }
+    }
+}
+
+/// Adds accelerators to a team's row; returns what the team holds then.
+fn add_use(teams: &mut Vec<TeamUse>, team: &ObjectName, held: u64) -> u64 {
+    let index = match teams.binary_search_by(|row| row.team.cmp(team)) {
+        Ok(index) => index,
+        Err(index) => {
+            let team = team.clone();
+            teams.insert(index, TeamUse { team, held: 0 });
+            index
+        }
+    };
+    teams[index].held += held;
+    teams[index].held
 }
--- a/src/work/place.rs
+++ b/src/work/place.rs
@@ -30,15 +30,21 @@
     pub reserved: Option<RoomClaim>,
 }
 
-/// Room kept for a unit. Units of more urgent queues may take it all the same.
+/// Room kept for a unit. Units with a better claim may take it all the same.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RoomClaim {
     /// The job.
     pub job: ObjectName,
     /// Unit of the job.
     pub unit: usize,
-    /// Priority of its queue.
-    pub priority: u32,
+    /// How good its claim is; lower is better.
+    pub rank: u32,
+}
+
+/// Returns how good a unit's claim to room is; lower is better. A team's guarantee holds
+/// against all work beyond guarantees, also against that of urgent queues.
+pub fn claim_rank(priority: u32, guaranteed: bool) -> u32 {
+    2 * priority + u32::from(!guaranteed)
 }
 
 impl OpenUpstream {
@@ -46,7 +52,7 @@
         let Some(reserved) = &self.reserved else {
             return true;
         };
-        reserved == claim || reserved.priority > claim.priority
+        reserved == claim || reserved.rank > claim.rank
     }
 }
 
--- a/tests/pool_owner.rs
+++ b/tests/pool_owner.rs
@@ -176,6 +176,25 @@
     assert_sound(&pool);
 }
 
+/// Load: a team without a guarantee fills the pool with urgent work before another claims what
+/// it is guaranteed.
+#[test]
+fn a_guarantee_is_reclaimed_from_urgent_work_beyond_guarantees() {
+    let mut pool = pool(SEED, 2);
+    pool.submit_as("guest", "a", "urgent", vec![step(2, 60_000, 8, false)]);
+    pool.run_for(500);
+    assert_eq!(pool.starts("a.0.0.1"), 1);
+    pool.submit("b", "urgent", vec![step(2, 500, 8, true)]);
+    pool.run_for(1_500);
+    assert_eq!(pool.starts("b.0.0.0"), 1);
+    // Work inside the guarantee is not displaced in turn, nor by a guest's.
+    pool.submit_as("guest", "c", "urgent", vec![step(1, 500, 8, false)]);
+    pool.run_for(10_000);
+    assert_eq!(pool.starts("b.0.0.0"), 1);
+    assert_eq!(pool.phase("b"), JobPhase::Completed);
+    assert_sound(&pool);
+}
+
 /// Load: stops take longer than the gang would have waited for its rack before.
 #[test]
 fn a_guaranteed_gang_waits_for_the_rack_being_cleared() {
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -241,6 +241,10 @@
 
     /// Hands a job in, also again.
     pub fn submit(&mut self, id: &str, queue: &str, steps: Vec<StepSpec>) {
+        self.submit_as("team", id, queue, steps);
+    }
+
+    pub fn submit_as(&mut self, team: &str, id: &str, queue: &str, steps: Vec<StepSpec>) {
         let id = name(id);
         let known = self.jobs.iter().find(|job| job.0 == id);
         let fact = match known {
@@ -248,7 +252,7 @@
             None => {
                 let rule = self.config.rule(&name(queue)).expect("a queue").clone();
                 let fact = Rc::new(JobFact {
-                    team: Some(name("team")),
+                    team: Some(name(team)),
                     queue: name(queue),
                     rule,
                     accepted_ms: self.now_ms,
--- a/tests/work_decisions.rs
+++ b/tests/work_decisions.rs
@@ -9,7 +9,7 @@
 use hemlockramp::work::order::{WaitingUnit, order_key};
 use hemlockramp::work::pace::{PaceWish, TaskProgress, UpstreamPace};
 use hemlockramp::work::patience::NearWait;
-use hemlockramp::work::place::{OpenUpstream, RoomClaim, UnitDemand, place_unit};
+use hemlockramp::work::place::{OpenUpstream, RoomClaim, UnitDemand, claim_rank, place_unit};
 use hemlockramp::work::store_health::StoreHealth;
 use hemlockramp::work::succession::{SuccessionWatch, gives_way, next_term};
 use hemlockramp::work::task_ref::TaskRef;
@@ -56,7 +56,7 @@
     RoomClaim {
         job: name(job),
         unit: 0,
-        priority,
+        rank: claim_rank(priority, false),
     }
 }
 
@@ -184,7 +184,7 @@
         upstreams: upstreams.to_vec(),
         need: need(accelerators),
         lost,
-        priority,
+        rank: claim_rank(priority, false),
     }
 }
 
