Give a silent upstream no new lease by sending a start again

A start is not sent again, nor for the first time, while its upstream is silent. Test: a_start_without_an_answer_does_not_keep_work_on_a_lost_upstream, which failed first.

--- a/src/work/owner/renewals.rs
+++ b/src/work/owner/renewals.rs
@@ -143,8 +143,9 @@
             return;
         };
         let upstream = &mut self.upstreams[index];
-        // After a change of owner, a look comes before a start is sent again.
-        if !gated && !upstream.looked {
+        // After a change of owner, a look comes before a start is sent again. A silent upstream
+        // gets no new lease: the ones it has must run out.
+        if !gated && (!upstream.looked || upstream.silent_count > 0) {
             return;
         }
         let Some(target) = upstream.target(self.term) else {
@@ -178,14 +179,16 @@
         let Some((job, unit, member)) = self.ordered(order.task_key()) else {
             return;
         };
-        if self.jobs[job].units[unit].phase != UnitPhase::Active {
+        let index = self.upstream_index(&order.target.upstream);
+        let silent = index.is_some_and(|index| self.upstreams[index].silent_count > 0);
+        if silent || self.jobs[job].units[unit].phase != UnitPhase::Active {
+            // The order has not gone out.
             self.clear_member(job, unit, member);
-            self.settle_unit(job, unit);
+            self.stop_unit(job, unit);
             return;
         }
         let now_ms = self.now.steady_ms;
         let lease_ms = self.timing.lease_ms;
-        let index = self.upstream_index(&order.target.upstream);
         let lease = index.and_then(|index| self.upstreams[index].grant_lease(now_ms, lease_ms));
         // The record may have taken long.
         order.lease_until_ms = lease.unwrap_or(order.lease_until_ms);
--- a/tests/pool_owner.rs
+++ b/tests/pool_owner.rs
@@ -88,6 +88,20 @@
     assert_sound(&pool);
 }
 
+/// Seen on the bench (salal-skipday, mix 713175025263): a start without an answer was sent to a
+/// lost upstream again and again, each time with a new lease, so that none was ever over.
+#[test]
+fn a_start_without_an_answer_does_not_keep_work_on_a_lost_upstream() {
+    let mut pool = pool(SEED, 2);
+    pool.submit("z", "plain", vec![step(2, 300, 8, false)]);
+    pool.run_for(1_000);
+    pool.upstreams[0].silent_until_ms = pool.now_ms + 60_000;
+    pool.submit("a", "plain", vec![step(1, 500, 8, false)]);
+    pool.run_for(9_000);
+    assert_eq!(pool.phase("a"), JobPhase::Completed);
+    assert_sound(&pool);
+}
+
 #[test]
 fn work_of_an_upstream_born_again_runs_at_once() {
     let mut pool = pool(SEED, 1);
