--- a/src/work/desk.rs
+++ b/src/work/desk.rs
@@ -130,7 +130,7 @@
     }
 
     fn is_away(&self) -> bool {
-        self.parts.store.health().is_away(steady_ms())
+        self.parts.store.is_away()
     }
 
     /// Refuses a call that cannot be served while the store is away.
--- a/src/work/host_parts.rs
+++ b/src/work/host_parts.rs
@@ -143,6 +143,10 @@
             Ok(()) => return Ok(()),
             Err(failure) => failure,
         };
+        log::info!(
+            key = entry.key.as_str(), failure:% = before;
+            "store: a fact does not go with the owner's append; it is appended here."
+        );
         let call = StoreCall::add_fact(entry.clone());
         match (self.call_store(&call).await, before) {
             (Ok(_), _) => Ok(()),
--- a/src/work/owner/job_state.rs
+++ b/src/work/owner/job_state.rs
@@ -96,6 +96,8 @@
     pub failed_on: Vec<ObjectName>,
     /// How often it was stopped in favour of other work.
     pub displaced: u32,
+    /// Whether the log says why it waits for its next run.
+    pub wait_told: bool,
 }
 
 impl UnitState {
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -315,6 +315,7 @@
                 rank: claim_rank(priority, candidate.waiting.guaranteed),
             };
             if !pool.spares(priority, &demand) {
+                self.tell_wait(job, unit, "room is kept for urgent work", pool);
                 return;
             }
             let Some(chosen) = place_unit(&demand, &claim, &pool.open) else {
@@ -324,6 +325,7 @@
                     claim,
                 };
                 round.guaranteed += usize::from(alone);
+                self.tell_wait(job, unit, "no room", pool);
                 self.claim_room(&blocked, pool, &mut round.reserved);
                 round.hopeless.push(demand);
                 return;
@@ -332,6 +334,20 @@
         }
     }
 
+    /// Tells once for each run of a unit why it waits.
+    fn tell_wait(&mut self, job: usize, unit: usize, reason: &str, pool: &OpenPool) {
+        let state = &mut self.jobs[job];
+        if std::mem::replace(&mut state.units[unit].wait_told, true) {
+            return;
+        }
+        log::info!(
+            job = state.id.as_str(), unit, reason, open = pool.open.len(),
+            free_accelerators = pool.free.accelerators, free_cpu_milli = pool.free.cpu_milli,
+            urgent_accelerators = pool.urgent.accelerators, config = self.config.version;
+            "owner: a unit waits."
+        );
+    }
+
     fn assign(&mut self, job: usize, unit: usize, pool: &mut OpenPool, chosen: &[usize]) {
         let id = self.jobs[job].id.clone();
         let need = self.jobs[job].step(unit).need;
@@ -339,6 +355,7 @@
         let state = &mut self.jobs[job].units[unit];
         let waited_ms = now_ms.saturating_sub(state.since_ms);
         state.phase = UnitPhase::Active;
+        state.wait_told = false;
         state.run += 1;
         state.resumed = state.saved.clone();
         state.since_ms = now_ms;
--- a/src/work/relay.rs
+++ b/src/work/relay.rs
@@ -33,6 +33,8 @@
     failures: Rc<Cell<u32>>,
     rest_until_ms: Rc<Cell<u64>>,
     health: Rc<RefCell<StoreHealth>>,
+    /// Whether the log says that the store is away.
+    away_told: Rc<Cell<bool>>,
 }
 
 impl<S: StorePort> RelayStore<S> {
@@ -44,6 +46,7 @@
             failures: Rc::default(),
             rest_until_ms: Rc::default(),
             health: Rc::default(),
+            away_told: Rc::default(),
         }
     }
 
@@ -62,6 +65,16 @@
         self.health.borrow()
     }
 
+    /// Returns whether the store answers nobody here, by any way.
+    pub fn is_away(&self) -> bool {
+        let away = self.health.borrow().is_away(steady_ms());
+        if away && !self.away_told.replace(true) {
+            log::warn!("store: lost by every way; callers are refused.");
+            metrics::counter!("hemlockramp_store_outages_total").increment(1);
+        }
+        away
+    }
+
     /// Returns whether a call tries the direct way first. While it fails, one call does so now
     /// and then, and the others are spared its limit.
     fn tries_directly(&self) -> bool {
@@ -192,6 +205,9 @@
         let limit = limit + Duration::from_millis(allowance_ms);
         let result = self.call_any(call, limit).await;
         watch.end(&result);
+        if result.is_ok() && self.away_told.replace(false) {
+            log::info!("store: answers again.");
+        }
         result
     }
 }
