--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -11,6 +11,7 @@
 pub mod planning;
 pub mod renewals;
 pub mod replies;
+mod team_use;
 pub mod upstream_state;
 
 use std::collections::VecDeque;
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -8,6 +8,7 @@
 use crate::work::owner::job_state::{MemberPhase, MemberState, UnitPhase};
 use crate::work::owner::make_room::BlockedUnit;
 use crate::work::owner::open_pool::OpenPool;
+use crate::work::owner::team_use::TeamUse;
 use crate::work::owner::upstream_state::HeldTask;
 use crate::work::pace::PaceWish;
 use crate::work::patience::NearWait;
@@ -30,12 +31,6 @@
     units: Vec<usize>,
 }
 
-/// Accelerators that a team's urgent jobs hold.
-struct TeamUse {
-    team: ObjectName,
-    held: u64,
-}
-
 /// What a round carries along.
 struct PlanRound {
     pools: Vec<OpenPool>,
@@ -115,89 +110,6 @@
         }
     }
 
-    /// Returns what each team's urgent jobs hold, sorted by team.
-    fn team_use(&self) -> Vec<TeamUse> {
-        let mut teams: Vec<TeamUse> = Vec::new();
-        for job in 0..self.jobs.len() {
-            let Some(team) = &self.jobs[job].fact.team else {
-                continue;
-            };
-            if self.rule(job).priority != 0 {
-                continue;
-            }
-            add_use(&mut teams, team, self.held_accelerators(job));
-        }
-        teams
-    }
-
-    /// Returns how good the claim of each job's running work is: of a team's urgent jobs, those
-    /// accepted first are inside its guarantee.
-    pub(super) fn running_ranks(&self) -> Vec<u32> {
-        let mut order: Vec<usize> = (0..self.jobs.len()).collect();
-        order.sort_by_key(|&job| self.jobs[job].fact.accepted_ms);
-        let mut teams: Vec<TeamUse> = Vec::new();
-        let mut ranks = vec![0; self.jobs.len()];
-        for job in order {
-            let priority = self.rule(job).priority;
-            let inside = priority == 0 && self.adds_inside(job, &mut teams);
-            ranks[job] = claim_rank(priority, inside);
-        }
-        ranks
-    }
-
-    /// Adds what a job holds to its team's use; returns whether the guarantee still covers it.
-    fn adds_inside(&self, job: usize, teams: &mut Vec<TeamUse>) -> bool {
-        let Some(team) = &self.jobs[job].fact.team else {
-            return false;
-        };
-        let held = add_use(teams, team, self.held_accelerators(job));
-        held <= self.config.guaranteed(team)
-    }
-
-    /// Returns whether an urgent job fits what its team is guaranteed, beside what the team's
-    /// other urgent jobs hold.
-    fn is_guaranteed(&self, job: usize, teams: &[TeamUse]) -> bool {
-        let Some(team) = &self.jobs[job].fact.team else {
-            return false;
-        };
-        let row = teams.binary_search_by(|row| row.team.cmp(team));
-        let held = row.map_or(0, |index| teams[index].held);
-        let others = held.saturating_sub(self.held_accelerators(job));
-        let wanted = self.jobs[job].fact.spec.first_accelerators();
-        others + wanted <= self.config.guaranteed(team)
-    }
-
-    /// Returns what urgent work holds in a pool.
-    fn urgent_use(&self, pool: &ObjectName) -> ResourceAmount {
-        let mut sum = ResourceAmount::default();
-        for job in 0..self.jobs.len() {
-            let rule = self.rule(job);
-            if rule.priority != 0 || rule.pool != *pool {
-                continue;
-            }
-            let state = &self.jobs[job];
-            for (unit, at) in state.units.iter().enumerate() {
-                let need = &state.step(unit).need;
-                let on = at
-                    .members
-                    .iter()
-                    .filter(|member| member.phase != MemberPhase::Over);
-                sum = on.fold(sum, |sum, _| sum.plus(need));
-            }
-        }
-        sum
-    }
-
-    fn held_accelerators(&self, job: usize) -> u64 {
-        let state = &self.jobs[job];
-        let on = |member: &&MemberState| member.phase != MemberPhase::Over;
-        let of_unit = |unit: usize| {
-            let members = state.units[unit].members.iter().filter(on).count() as u64;
-            members * state.step(unit).need.accelerators
-        };
-        (0..state.units.len()).map(of_unit).sum()
-    }
-
     fn open_pool(&self, pool: &ObjectName) -> OpenPool {
         let now_ms = self.now.steady_ms;
         let mut all = OpenPool {
@@ -400,17 +312,3 @@
         }
     }
 }
-
-/// Adds accelerators to a team's row; returns what the team holds then.
-fn add_use(teams: &mut Vec<TeamUse>, team: &ObjectName, held: u64) -> u64 {
-    let index = match teams.binary_search_by(|row| row.team.cmp(team)) {
-        Ok(index) => index,
-        Err(index) => {
-            let team = team.clone();
-            teams.insert(index, TeamUse { team, held: 0 });
-            index
-        }
-    };
-    teams[index].held += held;
-    teams[index].held
-}
--- a/src/work/store_health.rs
+++ b/src/work/store_health.rs
@@ -4,6 +4,8 @@
 //! callers go on coming. What cannot be stored is refused at once, and nothing is sent whose
 //! fate would be unknown; a store that is slow, but answers, is not taken for one that is away.
 
+use crate::work::follow::READ_WAIT_MS;
+
 /// Time by which an answer is overdue when the store counts as away, in ms.
 const OVERDUE_MS: u64 = 900;
 /// Failures in a row after which it counts as away.
@@ -45,7 +47,7 @@
         self.failures = 0;
         self.answered_ms = now_ms;
         // The next answer is due within the longest wait of those still on their way.
-        self.due_ms = (self.in_flight > 0).then_some(now_ms + crate::work::follow::READ_WAIT_MS);
+        self.due_ms = (self.in_flight > 0).then_some(now_ms + READ_WAIT_MS);
         self.latency_ms = latency_ms.unwrap_or(self.latency_ms);
     }
 
