Say which failure is worse, and what a job holds, in one place each

Found in the review of the change: store_fact ranked two failures by a match of its own beside relay's worse(), now StoreFailure::worse for both; urgent_use and held_accelerators counted what a job holds in two loops, now held(). No behaviour changes.

--- a/src/work/host_parts.rs
+++ b/src/work/host_parts.rs
@@ -148,10 +148,9 @@
             "store: a fact does not go with the owner's append; it is appended here."
         );
         let call = StoreCall::add_fact(entry.clone());
-        match (self.call_store(&call).await, before) {
-            (Ok(_), _) => Ok(()),
-            (Err(_), before @ StoreFailure::Unknown(_)) => Err(before),
-            (Err(failure), _) => Err(failure),
+        match self.call_store(&call).await {
+            Ok(_) => Ok(()),
+            Err(failure) => Err(before.worse(failure)),
         }
     }
 
--- a/src/work/owner/team_use.rs
+++ b/src/work/owner/team_use.rs
@@ -67,33 +67,32 @@
 
     /// Returns what urgent work holds in a pool.
     pub(super) fn urgent_use(&self, pool: &ObjectName) -> ResourceAmount {
-        let mut sum = ResourceAmount::default();
-        for job in 0..self.jobs.len() {
-            let rule = self.rule(job);
-            if rule.priority != 0 || rule.pool != *pool {
-                continue;
-            }
-            let state = &self.jobs[job];
-            for (unit, at) in state.units.iter().enumerate() {
-                let need = &state.step(unit).need;
-                let on = at
-                    .members
-                    .iter()
-                    .filter(|member| member.phase != MemberPhase::Over);
-                sum = on.fold(sum, |sum, _| sum.plus(need));
-            }
-        }
-        sum
+        let urgent = |job: &usize| {
+            let rule = self.rule(*job);
+            rule.priority == 0 && rule.pool == *pool
+        };
+        (0..self.jobs.len())
+            .filter(urgent)
+            .fold(ResourceAmount::default(), |sum, job| {
+                sum.plus(&self.held(job))
+            })
     }
 
     fn held_accelerators(&self, job: usize) -> u64 {
+        self.held(job).accelerators
+    }
+
+    /// Returns what a job holds on upstreams.
+    fn held(&self, job: usize) -> ResourceAmount {
         let state = &self.jobs[job];
         let on = |member: &&MemberState| member.phase != MemberPhase::Over;
         let of_unit = |unit: usize| {
             let members = state.units[unit].members.iter().filter(on).count() as u64;
-            members * state.step(unit).need.accelerators
+            state.step(unit).need.times(members)
         };
-        (0..state.units.len()).map(of_unit).sum()
+        (0..state.units.len())
+            .map(of_unit)
+            .fold(ResourceAmount::default(), |sum, held| sum.plus(&held))
     }
 }
 
--- a/src/work/relay.rs
+++ b/src/work/relay.rs
@@ -132,7 +132,7 @@
             match result {
                 Err(failure) if failure.is_transient() => {
                     self.peers.blame(&peer);
-                    last = worse(last, failure);
+                    last = last.worse(failure);
                 }
                 other => return other,
             }
@@ -145,14 +145,6 @@
     Duration::from_millis(call.wait_ms())
 }
 
-/// Keeps the failure after which less is certain.
-fn worse(left: StoreFailure, right: StoreFailure) -> StoreFailure {
-    match left {
-        StoreFailure::Unknown(_) => left,
-        _ => right,
-    }
-}
-
 /// A call on its way; dropped, it is one that its caller gave up.
 struct CallWatch<'a> {
     health: &'a RefCell<StoreHealth>,
@@ -233,7 +225,7 @@
             false => self.call_direct(call, limit).await,
         };
         match second {
-            Err(failure) if failure.is_transient() => Err(worse(before, failure)),
+            Err(failure) if failure.is_transient() => Err(before.worse(failure)),
             // The stream may have moved on by the call itself.
             Err(StoreFailure::Conflict) if matches!(before, StoreFailure::Unknown(_)) => {
                 Err(before)
--- a/src/work/stream.rs
+++ b/src/work/stream.rs
@@ -128,6 +128,14 @@
 }
 
 impl StoreFailure {
+    /// Returns the failure of two tries after which less is certain.
+    pub fn worse(self, other: Self) -> Self {
+        match self {
+            Self::Unknown(_) => self,
+            _ => other,
+        }
+    }
+
     /// Returns whether asking by another way may help.
     pub fn is_transient(&self) -> bool {
         matches!(self, Self::NotDone(_) | Self::Unknown(_))
