--- a/src/work/job_service.rs
+++ b/src/work/job_service.rs
@@ -1,4 +1,4 @@
-//! Admission of callers' requests, and submission, status and cancellation of jobs.
+//! Submission, status and cancellation of jobs.
 //!
 //! Callers keep sending requests while the store is slow or unavailable. `NotRun` is returned
 //! only if nothing can have been stored, and as soon as the store is known to be unavailable.
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use crate::tables::name::ObjectName;
-use crate::work::config::{CallerIdentity, QueueRule, RouteRow, WorkConfig};
+use crate::work::admission::AdmittedCall;
 use crate::work::host_context::{HostContext, host_time, steady_ms};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 use crate::work::record::{JobPhase, JobRecord, WorkRecord};
@@ -21,46 +21,10 @@
 /// The module's former path, kept as the log target because operators filter by it.
 const LOG_TARGET: &str = "hemlockramp::work::desk";
 
-/// Age of the configuration above which it is refreshed before a call is admitted.
-const CONFIG_AGE_MAX_MS: u64 = 1_700;
-/// Age of the configuration above which it is refreshed before a call is refused.
-const REFUSAL_CONFIG_AGE_MAX_MS: u64 = 250;
-/// Longest time spent on one call, however long the caller waits.
-const CALL_TIME_MAX_MS: u64 = 1_800;
-/// Part of the caller's timeout that is reserved for the response to travel back.
-const ANSWER_RESERVE_MS: u64 = 400;
 /// Delay between two attempts to store a record.
 const STORE_RETRY_MS: u64 = 60;
 /// Timeout of a refresh from the store.
-const CHECK_TIMEOUT_MS: u64 = 1_200;
-
-/// A caller's request, without its body.
-#[derive(Clone, Debug)]
-pub struct CallHead {
-    /// Host name that the caller used, without a port.
-    pub host: String,
-    pub path: String,
-    /// API key, if the caller sent one.
-    pub key: Option<String>,
-    /// Time that the caller waits for the response, in ms.
-    pub timeout_ms: u64,
-}
-
-/// A call that passed admission.
-#[derive(Clone, Debug)]
-pub struct AdmittedCall {
-    pub queue: ObjectName,
-    /// The queue's scheduling policy.
-    pub rule: QueueRule,
-    /// The caller's team; none on a public route without a known key.
-    pub team: Option<ObjectName>,
-    /// The path after the route's prefix.
-    pub subpath: String,
-    /// When the answer or refusal is due, steady ms.
-    pub deadline_ms: u64,
-    /// Maximum body size, in bytes.
-    pub body_max_bytes: usize,
-}
+pub(super) const CHECK_TIMEOUT_MS: u64 = 1_200;
 
 /// Why a call is refused.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -83,7 +47,7 @@
 
 /// Serves callers' requests on one host. Clones share the host's state.
 pub struct JobService<S, O, R> {
-    context: Rc<HostContext<S, O, R>>,
+    pub(super) context: Rc<HostContext<S, O, R>>,
 }
 
 impl<S, O, R> Clone for JobService<S, O, R> {
@@ -105,39 +69,12 @@
         self.context.is_ready()
     }
 
-    /// Admits a call: matches its route and checks its key.
-    ///
-    /// # Errors
-    ///
-    /// Refuses unknown routes and keys, after a refresh from the store if the configuration is
-    /// stale; refuses with `NotRun` if that refresh fails.
-    pub async fn admit(&self, head: &CallHead) -> Result<AdmittedCall, CallRefusal> {
-        let deadline_ms = steady_ms() + time_budget_ms(head.timeout_ms);
-        let config = self.config()?;
-        match authorize(&config, head, deadline_ms) {
-            Ok(call) if self.config_age_ms() <= CONFIG_AGE_MAX_MS => return Ok(call),
-            // No newer configuration can be read now. A job still has to be stored to be accepted.
-            Ok(call) if self.is_unavailable() => return Ok(call),
-            Err(_) if self.is_unavailable() => return Err(self.unavailable("the store is away")),
-            Err(refusal) if self.config_age_ms() <= REFUSAL_CONFIG_AGE_MAX_MS => {
-                return Err(refusal);
-            }
-            _ => {}
-        }
-        let checked = self.context.refresh_config();
-        match timeout(Duration::from_millis(CHECK_TIMEOUT_MS), checked).await {
-            Ok(Ok(())) => authorize(&*self.config()?, head, deadline_ms),
-            Ok(Err(failure)) => Err(self.unavailable(failure)),
-            Err(_) => Err(self.unavailable("the configuration could not be checked")),
-        }
-    }
-
-    fn is_unavailable(&self) -> bool {
+    pub(super) fn is_unavailable(&self) -> bool {
         self.context.store.is_unavailable()
     }
 
     /// Returns the refusal of a call that cannot be served because the store is unavailable.
-    fn unavailable(&self, reason: impl ToString) -> CallRefusal {
+    pub(super) fn unavailable(&self, reason: impl ToString) -> CallRefusal {
         let retry_ms = self
             .context
             .store
@@ -149,15 +86,6 @@
         }
     }
 
-    fn config(&self) -> Result<Rc<WorkConfig>, CallRefusal> {
-        let config = self.context.active_config.current();
-        config.ok_or_else(|| self.unavailable("no configuration yet"))
-    }
-
-    fn config_age_ms(&self) -> u64 {
-        self.context.active_config.age_ms(steady_ms())
-    }
-
     /// Stores a job. Succeeds at once if a job with this id is known already.
     ///
     /// # Errors
@@ -297,38 +225,3 @@
     };
     metrics::counter!("hemlockramp_submits_total", "outcome" => outcome).increment(1);
 }
-
-/// Returns how long to work on a call whose caller waits for `timeout_ms`, in ms.
-fn time_budget_ms(timeout_ms: u64) -> u64 {
-    timeout_ms
-        .saturating_sub(ANSWER_RESERVE_MS)
-        .min(CALL_TIME_MAX_MS)
-}
-
-/// Matches the route of a call and checks its key.
-fn authorize(
-    config: &WorkConfig,
-    head: &CallHead,
-    deadline_ms: u64,
-) -> Result<AdmittedCall, CallRefusal> {
-    let route: &RouteRow = config
-        .route(&head.host, &head.path)
-        .ok_or(CallRefusal::UnknownRoute)?;
-    let team = match config.caller(route, head.key.as_deref()) {
-        CallerIdentity::Team(team) => Some(team),
-        CallerIdentity::Public => None,
-        CallerIdentity::Unknown => return Err(CallRefusal::UnknownKey),
-    };
-    let deadline_ms = match route.answer_ms {
-        0 => deadline_ms,
-        own => deadline_ms.min(steady_ms() + time_budget_ms(own)),
-    };
-    Ok(AdmittedCall {
-        queue: route.queue.clone(),
-        rule: route.rule.clone(),
-        team,
-        subpath: head.path[route.prefix.len()..].to_owned(),
-        deadline_ms,
-        body_max_bytes: config.body_max_bytes,
-    })
-}
--- a/src/work/mod.rs
+++ b/src/work/mod.rs
@@ -5,6 +5,7 @@
 //! orders to the upstreams.
 
 pub mod active_config;
+pub mod admission;
 pub mod amount;
 mod claim;
 pub mod clock;
