--- a/src/work/admission.rs
+++ b/src/work/admission.rs
@@ -38,6 +38,8 @@
 #[derive(Clone, Debug)]
 pub struct AdmittedCall {
     pub queue: ObjectName,
+    /// Version of the configuration that admitted the call.
+    pub config_version: u64,
     /// The queue's scheduling policy.
     pub rule: QueueRule,
     /// The caller's team; none on a public route without a known key.
@@ -70,12 +72,34 @@
             }
             _ => {}
         }
+        self.check_config(config.version).await?;
+        authorize(&*self.config()?, head, deadline_ms)
+    }
+
+    /// Reads the newest configuration for a call that may not be decided by version `before`.
+    async fn check_config(&self, before: u64) -> Result<(), CallRefusal> {
+        let asked_ms = steady_ms();
         let checked = self.context.refresh_config();
-        match timeout(Duration::from_millis(CHECK_TIMEOUT_MS), checked).await {
-            Ok(Ok(())) => authorize(&*self.config()?, head, deadline_ms),
-            Ok(Err(failure)) => Err(self.unavailable(failure)),
-            Err(_) => Err(self.unavailable("the configuration could not be checked")),
+        let result = match timeout(Duration::from_millis(CHECK_TIMEOUT_MS), checked).await {
+            Ok(result) => result.map_err(|failure| failure.to_string()),
+            Err(_) => Err("the configuration could not be checked".to_owned()),
+        };
+        let took_ms = steady_ms() - asked_ms;
+        metrics::histogram!("hemlockramp_config_check_seconds").record(took_ms as f64 / 1_000.0);
+        let after = self.config_version();
+        if result.is_err() || after != before {
+            log::info!(
+                before, after, took_ms, outcome:? = result;
+                "config: a check for a call found another version or failed."
+            );
         }
+        result.map_err(|reason| self.unavailable(reason))
+    }
+
+    /// Returns the version of the configuration in force; 0 before the first one.
+    pub fn config_version(&self) -> u64 {
+        let config = self.context.active_config.current();
+        config.map_or(0, |config| config.version)
     }
 
     fn config(&self) -> Result<Rc<WorkConfig>, CallRefusal> {
@@ -83,7 +107,8 @@
         config.ok_or_else(|| self.unavailable("no configuration yet"))
     }
 
-    pub(super) fn config_age_ms(&self) -> u64 {
+    /// Returns the time since the configuration was last confirmed as the newest, in ms.
+    pub fn config_age_ms(&self) -> u64 {
         self.context.active_config.age_ms(steady_ms())
     }
 }
@@ -115,6 +140,7 @@
     };
     Ok(AdmittedCall {
         queue: route.queue.clone(),
+        config_version: config.version,
         rule: route.rule.clone(),
         team,
         subpath: head.path[route.prefix.len()..].to_owned(),
--- a/src/work/job_service.rs
+++ b/src/work/job_service.rs
@@ -119,7 +119,7 @@
         count_outcome(&result);
         log::info!(
             target: LOG_TARGET, job = id.as_str(), took_ms, queue = call.queue.as_str(),
-            config_age_ms = self.config_age_ms(), outcome:? = result;
+            config = call.config_version, config_age_ms = self.config_age_ms(), outcome:? = result;
             "desk: a job was handed in."
         );
         result
@@ -151,7 +151,8 @@
         let entry = KeyedValue::from(&WorkRecord::Cancel(id.clone()));
         let result = self.store(entry, call.deadline_ms).await;
         log::info!(
-            target: LOG_TARGET, job = id.as_str(), outcome:? = result;
+            target: LOG_TARGET, job = id.as_str(), config = call.config_version,
+            config_age_ms = self.config_age_ms(), outcome:? = result;
             "desk: a cancellation was handled."
         );
         result
