Send back a call that was overtaken while its configuration was checked

Cause: a call that the current version refuses waits for a check against the store, up to 1.2 s while the store turns the host away; calls that the current version allows are decided at once, so later calls see the older version. Class: a decision that waits is overtaken by later ones. Ruled out: an older version replacing a newer one (versions only rise in a process; the logs show 71 until 12.20 s, then 78); a peer's stale answer (peers only pass the store's). Fix: a call that the newer version admits after its wait is refused as not run if a call that came over 100 ms later has been decided by the older version. No call waits for another's check: that would make all callers of a host wait for whoever asks for an unknown route.

--- a/src/work/active_config.rs
+++ b/src/work/active_config.rs
@@ -13,6 +13,10 @@
 pub struct ActiveConfig {
     config: RefCell<Option<Rc<WorkConfig>>>,
     confirmed_ms: Cell<u64>,
+    /// When a call was last decided, steady ms.
+    decided_ms: Cell<u64>,
+    /// When a call was last decided by an older version than the current one, steady ms.
+    decided_by_older_ms: Cell<u64>,
 }
 
 impl ActiveConfig {
@@ -35,6 +39,7 @@
             );
             metrics::gauge!("hemlockramp_config_version").set(config.version as f64);
             *current = Some(Rc::new(config));
+            self.decided_by_older_ms.set(self.decided_ms.get());
         }
         newer
     }
@@ -48,4 +53,14 @@
     pub fn age_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.confirmed_ms.get())
     }
+
+    /// Records that a call was decided by the current version at `now_ms`, steady ms.
+    pub fn record_decision(&self, now_ms: u64) {
+        self.decided_ms.set(now_ms);
+    }
+
+    /// Returns whether a call was decided by an older version later than `since_ms`, steady ms.
+    pub fn was_older_in_use_after(&self, since_ms: u64) -> bool {
+        self.decided_by_older_ms.get() > since_ms
+    }
 }
--- a/src/work/admission.rs
+++ b/src/work/admission.rs
@@ -1,6 +1,8 @@
 //! Admission of callers' requests: matches their route and checks their key.
 //!
-//! A decision by a configuration that may be out of date is checked against the store first.
+//! A decision by a configuration that may be out of date is checked against the store first. Other
+//! calls are decided meanwhile, so a call that the check admits may have been overtaken: callers
+//! would then see the newer version before the older one. Such a call is sent back to try again.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +19,11 @@
 const CONFIG_AGE_MAX_MS: u64 = 1_700;
 /// Age of the configuration above which it is refreshed before a call is refused.
 const REFUSAL_CONFIG_AGE_MAX_MS: u64 = 250;
+/// Time within which two calls count as concurrent and may be decided by versions in either order,
+/// in ms.
+const CONCURRENT_CALLS_MS: u64 = 100;
+/// Delay after which an overtaken call is to be tried again, in ms.
+const OVERTAKEN_RETRY_MS: u64 = 500;
 /// Longest time spent on one call, however long the caller waits.
 const CALL_TIME_MAX_MS: u64 = 1_800;
 /// Part of the caller's timeout that is reserved for the response to travel back.
@@ -58,9 +65,28 @@
     /// # Errors
     ///
     /// Refuses unknown routes and keys, after a refresh from the store if the configuration is
-    /// stale; refuses with `NotRun` if that refresh fails.
+    /// stale; refuses with `NotRun` if that refresh fails or a later call has overtaken this one.
     pub async fn admit(&self, head: &CallHead) -> Result<AdmittedCall, CallRefusal> {
-        let deadline_ms = steady_ms() + time_budget_ms(head.timeout_ms);
+        let arrived_ms = steady_ms();
+        let result = self.decide(head, arrived_ms).await;
+        let active_config = &self.context.active_config;
+        if result.is_ok() && active_config.was_older_in_use_after(arrived_ms + CONCURRENT_CALLS_MS)
+        {
+            metrics::counter!("hemlockramp_calls_overtaken_total").increment(1);
+            return Err(CallRefusal::NotRun {
+                retry_ms: OVERTAKEN_RETRY_MS,
+                reason: "the configuration changed while the call waited".to_owned(),
+            });
+        }
+        if !matches!(result, Err(CallRefusal::NotRun { .. })) {
+            active_config.record_decision(steady_ms());
+        }
+        result
+    }
+
+    /// Decides a call by the configuration in force, or by the newest one in the store.
+    async fn decide(&self, head: &CallHead, arrived_ms: u64) -> Result<AdmittedCall, CallRefusal> {
+        let deadline_ms = arrived_ms + time_budget_ms(head.timeout_ms);
         let config = self.config()?;
         match authorize(&config, head, deadline_ms) {
             Ok(call) if self.config_age_ms() <= CONFIG_AGE_MAX_MS => return Ok(call),
