Let a host ask the store before it decides by an outdated configuration

What callers saw: a key that a new version had removed was still admitted by the pool's owner, up to 1.7 s (while the store seemed away to it, without bound) after that owner had started work which only the new version admits. Cause: the owner stores and starts what other hosts have admitted, whatever version admitted it, and a job's record did not name that version. Fix: records of jobs and of cancellations name the version that admitted the caller. A host that reads, stores or lists such a record and lacks the version is outdated: it reads the configuration at once, and until it has the version, or the store has said since that there is no newer one, no caller is decided without a check. The owner's rule of a job is the newer of the two. Records without a version count as version 0.

--- a/src/work/active_config.rs
+++ b/src/work/active_config.rs
@@ -13,6 +13,10 @@
 pub struct ActiveConfig {
     config: RefCell<Option<Rc<WorkConfig>>>,
     confirmed_ms: Cell<u64>,
+    /// Newest version that another host has been seen to act on.
+    known_version: Cell<u64>,
+    /// When such a version became known that this host lacks, steady ms; none if it lacks none.
+    outdated_since_ms: Cell<Option<u64>>,
     /// When a call was last decided, steady ms.
     decided_ms: Cell<u64>,
     /// When a call was last decided by an older version than the current one, steady ms.
@@ -38,15 +42,46 @@
                 "config: a version is in force."
             );
             metrics::gauge!("hemlockramp_config_version").set(config.version as f64);
+            if config.version >= self.known_version.get() {
+                self.outdated_since_ms.set(None);
+            }
             *current = Some(Rc::new(config));
             self.decided_by_older_ms.set(self.decided_ms.get());
         }
         newer
     }
 
+    /// Learns that another host acts on a version. Returns whether this host has just become
+    /// outdated by it.
+    pub fn learn_version(&self, version: u64, now_ms: u64) -> bool {
+        let current = self.config.borrow().as_ref().map_or(0, |own| own.version);
+        if version <= current || version <= self.known_version.get() {
+            return false;
+        }
+        log::info!(
+            target: LOG_TARGET, current, known = version, age_ms = self.age_ms(now_ms);
+            "config: another host acts on a newer version."
+        );
+        self.known_version.set(version);
+        self.outdated_since_ms.set(Some(now_ms));
+        true
+    }
+
+    /// Returns whether another host acts on a newer version that this host has not read yet.
+    pub fn is_outdated(&self) -> bool {
+        self.outdated_since_ms.get().is_some()
+    }
+
     /// Records that the store had nothing newer when it was asked at `asked_ms`, steady ms.
     pub fn mark_confirmed(&self, asked_ms: u64) {
         self.confirmed_ms.set(self.confirmed_ms.get().max(asked_ms));
+        if self
+            .outdated_since_ms
+            .get()
+            .is_some_and(|since| since < asked_ms)
+        {
+            self.outdated_since_ms.set(None);
+        }
     }
 
     /// Returns the time since the configuration was last confirmed as the newest, in ms.
@@ -54,6 +89,12 @@
         now_ms.saturating_sub(self.confirmed_ms.get())
     }
 
+    /// Returns whether a call may be decided without a check: the configuration was confirmed
+    /// within `age_max_ms` and no other host acts on a newer one.
+    pub fn is_current(&self, now_ms: u64, age_max_ms: u64) -> bool {
+        !self.is_outdated() && self.age_ms(now_ms) <= age_max_ms
+    }
+
     /// Records that a call was decided by the current version at `now_ms`, steady ms.
     pub fn record_decision(&self, now_ms: u64) {
         self.decided_ms.set(now_ms);
--- a/src/work/admission.rs
+++ b/src/work/admission.rs
@@ -1,6 +1,7 @@
 //! Admission of callers' requests: matches their route and checks their key.
 //!
-//! A decision by a configuration that may be out of date is checked against the store first. Other
+//! A decision by a configuration that may be out of date is checked against the store first. A host
+//! that stores or starts what another host has admitted by a newer version is out of date. Other
 //! calls are decided meanwhile, so a call that the check admits may have been overtaken: callers
 //! would then see the newer version before the older one. Such a call is sent back to try again.
 
@@ -88,12 +89,14 @@
     async fn decide(&self, head: &CallHead, arrived_ms: u64) -> Result<AdmittedCall, CallRefusal> {
         let deadline_ms = arrived_ms + time_budget_ms(head.timeout_ms);
         let config = self.config()?;
+        let active_config = &self.context.active_config;
         match authorize(&config, head, deadline_ms) {
-            Ok(call) if self.config_age_ms() <= CONFIG_AGE_MAX_MS => return Ok(call),
-            // No newer configuration can be read now. A job still has to be stored to be accepted.
-            Ok(call) if self.is_unavailable() => return Ok(call),
-            Err(_) if self.is_unavailable() => return Err(self.unavailable("the store is away")),
-            Err(refusal) if self.config_age_ms() <= REFUSAL_CONFIG_AGE_MAX_MS => {
+            Ok(call) if active_config.is_current(arrived_ms, CONFIG_AGE_MAX_MS) => return Ok(call),
+            // No newer configuration can be read now, and none is known to exist. A job still has
+            // to be stored to be accepted.
+            Ok(call) if self.is_unavailable() && !active_config.is_outdated() => return Ok(call),
+            _ if self.is_unavailable() => return Err(self.unavailable("the store is away")),
+            Err(refusal) if active_config.is_current(arrived_ms, REFUSAL_CONFIG_AGE_MAX_MS) => {
                 return Err(refusal);
             }
             _ => {}
--- a/src/work/host.rs
+++ b/src/work/host.rs
@@ -19,6 +19,8 @@
 const JOBS_PAUSE_MS: u64 = 200;
 /// Delay between two attempts to announce this host to its peers.
 const ANNOUNCE_RETRY_MS: u64 = 400;
+/// Delay between two attempts to read a configuration that other hosts already have.
+const CONFIG_RETRY_MS: u64 = 80;
 /// Longest wait for the release of the pool during a shutdown.
 const RELEASE_TIMEOUT_MS: u64 = 1_500;
 /// Interval of the checks whether the pool has been released.
@@ -50,6 +52,7 @@
         let context = Rc::new(HostContext::new(identity, store, orders, reader, peers));
         spawn_peers(&context, listener);
         spawn_followers(&context);
+        tokio::task::spawn_local(read_missing_config(Rc::clone(&context)));
         tokio::task::spawn_local(announce(Rc::clone(&context), address));
         tokio::task::spawn_local(run_owner_loop(Rc::clone(&context)));
         Self { context, address }
@@ -112,6 +115,23 @@
     }
 }
 
+/// Reads the newest configuration whenever another host is known to act on a version that this
+/// host lacks. Never returns.
+async fn read_missing_config<S: StorePort, O, R: RecordReader>(context: Rc<HostContext<S, O, R>>) {
+    loop {
+        context.config_wake.notified().await;
+        while context.active_config.is_outdated() {
+            if let Err(failure) = context.refresh_config().await {
+                log::debug!(
+                    failure:% = failure;
+                    "host: reading a newer configuration failed; retrying."
+                );
+                tokio::time::sleep(Duration::from_millis(CONFIG_RETRY_MS)).await;
+            }
+        }
+    }
+}
+
 fn spawn_peers<S: StorePort, O: OrderPort, R: RecordReader>(
     context: &Rc<HostContext<S, O, R>>,
     listener: TcpListener,
--- a/src/work/host_context.rs
+++ b/src/work/host_context.rs
@@ -73,6 +73,8 @@
     pub jobs_listed: Cell<bool>,
     /// The configuration in force, with its age.
     pub active_config: ActiveConfig,
+    /// Wakes the task that reads a configuration that other hosts have and this one lacks.
+    pub config_wake: Notify,
     /// Failure detector of the pool's owner, which decides when this host claims the pool.
     pub election: RefCell<ElectionTimer>,
     /// The pool's state while this host owns it.
@@ -99,6 +101,7 @@
             next_jobs_offset: Cell::new(0),
             jobs_listed: Cell::new(false),
             active_config: ActiveConfig::default(),
+            config_wake: Notify::new(),
             election: RefCell::new(election),
             owner: RefCell::new(None),
             group_commit: GroupCommitQueue::default(),
@@ -183,6 +186,10 @@
                 ViewChange::Other => {}
             }
         }
+        let version = self.jobs_view.borrow().config_version;
+        if self.active_config.learn_version(version, steady_ms()) {
+            self.config_wake.notify_one();
+        }
         self.update_peers();
     }
 
--- a/src/work/job_service.rs
+++ b/src/work/job_service.rs
@@ -107,6 +107,7 @@
         let record = JobRecord {
             team: call.team.clone(),
             queue: call.queue.clone(),
+            config_version: call.config_version,
             rule: call.rule.clone(),
             accepted_ms: host_time().wall_ms,
             spec,
@@ -148,7 +149,7 @@
         if self.status(id).await?.is_over() {
             return Ok(());
         }
-        let entry = KeyedValue::from(&WorkRecord::Cancel(id.clone()));
+        let entry = KeyedValue::from(&WorkRecord::Cancel(id.clone(), call.config_version));
         let result = self.store(entry, call.deadline_ms).await;
         log::info!(
             target: LOG_TARGET, job = id.as_str(), config = call.config_version,
--- a/src/work/jobs_view.rs
+++ b/src/work/jobs_view.rs
@@ -70,6 +70,8 @@
     pub hosts: Vec<HostRow>,
     /// The owner; none before the first claim.
     pub owner: Option<OwnerRow>,
+    /// Newest version of the configuration that admitted a caller on any host.
+    pub config_version: u64,
 }
 
 impl JobsView {
@@ -97,6 +99,7 @@
     }
 
     fn apply_record(&mut self, offset: u64, record: WorkRecord) -> ViewChange {
+        self.config_version = self.config_version.max(record.config_version());
         match record {
             WorkRecord::Job(id, record) => {
                 let job = self.job_mut(&id);
@@ -104,7 +107,7 @@
                 job.record.get_or_insert_with(|| Rc::from(record));
                 ViewChange::Job(id)
             }
-            WorkRecord::Cancel(id) => {
+            WorkRecord::Cancel(id, _) => {
                 self.job_mut(&id).cancelled = true;
                 ViewChange::Job(id)
             }
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -43,9 +43,13 @@
 }
 
 impl PoolOwner {
-    /// Returns the current rule of a job's queue, or the rule at submission if the queue is gone.
+    /// Returns the newest known rule of a job's queue: the current one, or the one at submission if
+    /// the queue is gone or the job was admitted by a newer configuration than this host's.
     pub(super) fn rule(&self, job: usize) -> &QueueRule {
         let record = &self.jobs[job].record;
+        if record.config_version > self.config.version {
+            return &record.rule;
+        }
         self.config.rule(&record.queue).unwrap_or(&record.rule)
     }
 
--- a/src/work/record.rs
+++ b/src/work/record.rs
@@ -21,7 +21,11 @@
     /// The caller's team; none on a public route without a known key.
     pub team: Option<ObjectName>,
     pub queue: ObjectName,
-    /// The queue's policy at the time of acceptance; used if the queue no longer exists.
+    /// Version of the configuration that admitted the job; 0 if unknown.
+    #[serde(default)]
+    pub config_version: u64,
+    /// The queue's policy at the time of acceptance; used if the queue no longer exists or this
+    /// host's configuration is older.
     pub rule: QueueRule,
     /// When the job was accepted, Unix ms by the accepting host's clock.
     pub accepted_ms: u64,
@@ -78,8 +82,9 @@
 pub enum WorkRecord {
     /// A job was accepted.
     Job(ObjectName, Box<JobRecord>),
-    /// A job was cancelled by a caller.
-    Cancel(ObjectName),
+    /// A job was cancelled by a caller, who was admitted by this version of the configuration; 0 if
+    /// unknown.
+    Cancel(ObjectName, u64),
     /// A job has reached a phase.
     Phase(ObjectName, JobPhase),
     /// The pool's owner; repeated as its heartbeat.
@@ -151,7 +156,7 @@
     fn from(record: &WorkRecord) -> Self {
         let (key, value) = match record {
             WorkRecord::Job(id, job) => (format!("job:{id}"), encode(job)),
-            WorkRecord::Cancel(id) => (format!("cancel:{id}"), encode(&true)),
+            WorkRecord::Cancel(id, version) => (format!("cancel:{id}"), encode(version)),
             WorkRecord::Phase(id, phase) => (format!("phase:{id}"), encode(phase)),
             WorkRecord::Owner(owner) => (OWNER_KEY.to_owned(), encode(owner)),
             WorkRecord::Host(host, entry) => (format!("host:{host}"), encode(entry)),
@@ -160,6 +165,18 @@
     }
 }
 
+impl WorkRecord {
+    /// Returns the version of the configuration that the record gives effect to; 0 if none is
+    /// known.
+    pub fn config_version(&self) -> u64 {
+        match self {
+            Self::Job(_, job) => job.config_version,
+            Self::Cancel(_, version) => *version,
+            _ => 0,
+        }
+    }
+}
+
 impl TryFrom<&KeyedValue> for WorkRecord {
     type Error = Report;
 
@@ -174,7 +191,8 @@
         let name = ObjectName::try_from(name)?;
         match kind {
             "job" => Ok(Self::Job(name, Box::new(decode(entry)?))),
-            "cancel" => Ok(Self::Cancel(name)),
+            // Older records hold `true` in place of the version.
+            "cancel" => Ok(Self::Cancel(name, decode(entry).unwrap_or_default())),
             "phase" => Ok(Self::Phase(name, decode(entry)?)),
             "host" => Ok(Self::Host(name, decode(entry)?)),
             _ => Err(eyre!(
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -295,6 +295,7 @@
                 let record = Rc::new(JobRecord {
                     team: Some(name(team)),
                     queue: name(queue),
+                    config_version: 0,
                     rule,
                     accepted_ms: self.now_ms,
                     spec: WorkSpec {
