Count a read as a confirmation only if it reached the stream's end

What callers could see: a host with a backlog of large configurations (more than 512 kB, as after a freeze or behind a slow link in a storm of changes) confirmed an old version after each partial answer, as of that answer's time, and could refuse a route or admit a key by it. Cause: the follower reported each answer as if it had reached the end. Class: progress taken for completion. The trait's method now takes a typed reply in place of two numbers.

--- a/src/work/follow.rs
+++ b/src/work/follow.rs
@@ -12,6 +12,17 @@
 /// Delay after a failed call.
 const RETRY_MS: u64 = 80;
 
+/// What an answer of the store tells about a follower's progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FollowReply {
+    /// When the call was sent, steady ms.
+    pub asked_ms: u64,
+    /// Offset before which all records have been applied.
+    pub next: u64,
+    /// Whether no records followed at the store when it answered.
+    pub at_end: bool,
+}
+
 /// Receiver of the records of a stream.
 pub trait StreamSink {
     /// Called when a listing begins. Keys that the listing does not contain no longer exist.
@@ -23,9 +34,8 @@
     /// Called when a listing is complete.
     fn end_listing(&mut self) {}
 
-    /// Called when the store has answered a call sent at `asked_ms`, steady ms. All records before
-    /// the offset `next` have been applied.
-    fn on_reply(&mut self, asked_ms: u64, next: u64);
+    /// Called when the store has answered a call and its records have been applied.
+    fn on_reply(&mut self, reply: FollowReply);
 
     /// Returns the delay before the next read after one that returned records, in ms.
     fn pause_ms(&self) -> u64;
@@ -102,7 +112,11 @@
         self.sink.apply(&reply.records);
         let next = reply.records.last().map_or(from, |last| last.offset + 1);
         self.next = Some(next);
-        self.sink.on_reply(asked_ms, next);
+        self.sink.on_reply(FollowReply {
+            asked_ms,
+            next,
+            at_end: next >= reply.end,
+        });
         Ok(!reply.records.is_empty())
     }
 
@@ -113,7 +127,11 @@
         let end = list_newest(&self.store, self.stream, |records| sink.apply(records)).await?;
         self.next = Some(end);
         self.sink.end_listing();
-        self.sink.on_reply(asked_ms, end);
+        self.sink.on_reply(FollowReply {
+            asked_ms,
+            next: end,
+            at_end: true,
+        });
         Ok(true)
     }
 }
--- a/src/work/host.rs
+++ b/src/work/host.rs
@@ -6,7 +6,7 @@
 
 use tokio::net::TcpListener;
 
-use crate::work::follow::{StreamFollower, StreamSink};
+use crate::work::follow::{FollowReply, StreamFollower, StreamSink};
 use crate::work::host_context::{HostContext, HostIdentity, steady_ms};
 use crate::work::job_service::JobService;
 use crate::work::owner_loop::run_owner_loop;
@@ -193,8 +193,8 @@
         }
     }
 
-    fn on_reply(&mut self, _asked_ms: u64, next: u64) {
-        let next_jobs_offset = self.context.next_jobs_offset.get().max(next);
+    fn on_reply(&mut self, reply: FollowReply) {
+        let next_jobs_offset = self.context.next_jobs_offset.get().max(reply.next);
         self.context.next_jobs_offset.set(next_jobs_offset);
         let now_ms = steady_ms();
         self.context
@@ -225,8 +225,10 @@
         self.context.apply_configs(records);
     }
 
-    fn on_reply(&mut self, asked_ms: u64, _next: u64) {
-        self.context.active_config.mark_confirmed(asked_ms);
+    fn on_reply(&mut self, reply: FollowReply) {
+        if reply.at_end {
+            self.context.active_config.mark_confirmed(reply.asked_ms);
+        }
     }
 
     fn pause_ms(&self) -> u64 {
--- a/src/work/owner_loop/report_sink.rs
+++ b/src/work/owner_loop/report_sink.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use crate::tables::name::ObjectName;
-use crate::work::follow::StreamSink;
+use crate::work::follow::{FollowReply, StreamSink};
 use crate::work::host_context::host_time;
 use crate::work::owner_loop::OwnerLoop;
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
@@ -72,7 +72,7 @@
         });
     }
 
-    fn on_reply(&mut self, _asked_ms: u64, _next: u64) {}
+    fn on_reply(&mut self, _reply: FollowReply) {}
 
     fn pause_ms(&self) -> u64 {
         REPORTS_PAUSE_MS
