--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -168,8 +168,9 @@
         &mut self.upstreams[index]
     }
 
-    /// Applies an upstream's report from the list of upstreams.
-    pub fn on_report(&mut self, report: UpstreamReport) {
+    /// Applies an upstream's report from the list of upstreams. Returns whether it was not listed
+    /// before.
+    pub fn on_report(&mut self, report: UpstreamReport) -> bool {
         let now_ms = self.now.steady_ms;
         let name = report.name.clone();
         let incarnation = report.incarnation;
@@ -178,7 +179,8 @@
             arrived_ms: now_ms,
         };
         let upstream = self.upstream_mut(&name);
-        let capacity_changed = !upstream.listed
+        let newly_listed = !upstream.listed;
+        let capacity_changed = newly_listed
             || upstream.report.as_ref().is_none_or(|old| {
                 old.draining != report.draining || old.capacity != report.capacity
             });
@@ -193,6 +195,7 @@
             self.on_restart(&name, incarnation, reading);
         }
         self.placement_due |= capacity_changed || restarted;
+        newly_listed
     }
 
     /// Records that an upstream has left the list.
@@ -263,7 +266,15 @@
     fn member_lost(&mut self, job: usize, unit: usize, member: usize, reason: &str) {
         let task = self.jobs[job].task(unit, member);
         let run = self.jobs[job].units[unit].run;
-        log::info!(job = task.job.as_str(), task:% = task, run, reason; "owner: a run is lost.");
+        let state = &self.jobs[job].units[unit].members[member];
+        let upstream = state.upstream.as_ref().map_or("", ObjectName::as_str);
+        log::info!(
+            job = task.job.as_str(), task:% = task, run, reason, upstream,
+            born = state.incarnation, started = state.phase == MemberPhase::Running,
+            order_age_ms = self.now.steady_ms.saturating_sub(state.last_order_ms);
+            "owner: a run is lost."
+        );
+        metrics::counter!("hemlockramp_runs_lost_total").increment(1);
         self.clear_member(job, unit, member);
         self.stop_unit(job, unit);
     }
--- a/src/work/owner_loop/report_sink.rs
+++ b/src/work/owner_loop/report_sink.rs
@@ -42,10 +42,17 @@
         if let Some(listing) = &mut self.listing {
             listing.push(report.name.clone());
         }
-        let _ = self.owner_loop.with_owner(|owner| {
+        let (name, address, born) = (report.name.clone(), report.address, report.incarnation);
+        let newly_listed = self.owner_loop.with_owner(|owner| {
             owner.set_time(host_time());
-            owner.on_report(report);
+            owner.on_report(report)
         });
+        if newly_listed == Some(true) {
+            log::info!(
+                target: LOG_TARGET, upstream = name.as_str(), address:% = address, born;
+                "owner: an upstream is listed."
+            );
+        }
     }
 }
 
