Count runs lost with their upstream, and give up a task that crashes upstreams

Cause: only ends that an upstream lists as failed counted as attempts; a run that vanished with its upstream counted nowhere, and was placed again at once, beside others. Class: a retry without a budget, the loss put down to the place and never to the work. Ruled out: a count lost with the owner (there was none); a crash that cannot be told from a cut (a later life has the upstream's address before the lease is over). Fix: lost runs are kept with the unit and stored before its next start. A later life under the same name or address proves a crash, an answer of the same life takes the loss back, an announced shutdown does not count. After two lost runs a unit runs alone; after three proved crashes or five lost runs its job fails. Two proved crashes would be allowed, but work that was only nearby would go with it.

--- a/src/work/mod.rs
+++ b/src/work/mod.rs
@@ -10,6 +10,8 @@
 mod claim;
 pub mod clock;
 pub mod config;
+pub mod crash_history;
+pub mod crash_record;
 pub mod follow;
 pub mod group_commit;
 pub mod headroom;
--- /dev/null
+++ b/src/work/owner/crashes.rs
@@ -0,0 +1,118 @@
+//! Runs that are lost with their upstream, and units that are given up for it.
+
+use crate::tables::name::ObjectName;
+use crate::work::crash_record::{LossRecord, UpstreamLife};
+use crate::work::owner::PoolOwner;
+use crate::work::owner::job_state::MemberPhase;
+use crate::work::owner::upstream_state::UpstreamState;
+use crate::work::record::JobPhase;
+
+impl PoolOwner {
+    /// Notes that a member's run was lost with its upstream. A start that has not been sent, and an
+    /// upstream that had announced its shutdown, do not count.
+    pub(super) fn note_lost_run(&mut self, job: usize, unit: usize, member: usize) {
+        let state = &self.jobs[job].units[unit].members[member];
+        let sent = matches!(state.phase, MemberPhase::Sent | MemberPhase::Running);
+        let Some(name) = state.upstream.clone().filter(|_| sent) else {
+            return;
+        };
+        let upstream = self.upstream_index(&name).map(|at| &self.upstreams[at]);
+        let report = upstream.and_then(|upstream| upstream.report.as_ref());
+        if report.is_some_and(|report| report.draining) {
+            return;
+        }
+        let loss = LossRecord {
+            life: UpstreamLife {
+                upstream: name.clone(),
+                address: upstream.and_then(|upstream| upstream.address),
+                incarnation: state.incarnation,
+            },
+            started: state.phase == MemberPhase::Running && !state.start_unconfirmed,
+        };
+        let later_life = self.later_life(&loss.life);
+        let unit_state = &mut self.jobs[job].units[unit];
+        unit_state.failed_on.push(name);
+        unit_state.crashes.add_loss(member as u32, loss);
+        if let Some(life) = later_life {
+            unit_state.crashes.resolve(&life);
+        }
+    }
+
+    /// Returns a known life that has followed this one, if there is any.
+    fn later_life(&self, life: &UpstreamLife) -> Option<UpstreamLife> {
+        let mut lives = self.upstreams.iter().map(UpstreamState::life);
+        lives.find(|other| other.follows(life))
+    }
+
+    /// Counts the lost runs that a new life proves to be crashes.
+    pub(super) fn resolve_losses(&mut self, life: &UpstreamLife) {
+        for job in 0..self.jobs.len() {
+            let mut resolved = false;
+            for unit in &mut self.jobs[job].units {
+                resolved |= unit.crashes.resolve(life);
+            }
+            if resolved {
+                self.jobs[job].dirty = true;
+                self.give_up_crashing(job);
+            }
+        }
+    }
+
+    /// Drops the losses on an upstream that has answered again in the life that they name.
+    pub(super) fn refute_losses(&mut self, name: &ObjectName, incarnation: u64) {
+        let life = UpstreamLife {
+            upstream: name.clone(),
+            address: None,
+            incarnation,
+        };
+        for job in &mut self.jobs {
+            for unit in &mut job.units {
+                job.dirty |= unit.crashes.refute(&life);
+            }
+        }
+    }
+
+    /// Resolves the losses that an earlier owner recorded, by the lives that are listed now.
+    pub(super) fn resolve_restored_losses(&mut self, job: usize) {
+        for unit in 0..self.jobs[job].units.len() {
+            let crashes = &self.jobs[job].units[unit].crashes;
+            let losses: Vec<LossRecord> = crashes.open_losses().cloned().collect();
+            for loss in losses {
+                let later_life = self.later_life(&loss.life);
+                let lives_on = self.is_listed(&loss.life);
+                let crashes = &mut self.jobs[job].units[unit].crashes;
+                self.jobs[job].dirty |= match later_life {
+                    Some(life) => crashes.resolve(&life),
+                    None if lives_on => crashes.refute(&loss.life),
+                    None => false,
+                };
+            }
+        }
+    }
+
+    fn is_listed(&self, life: &UpstreamLife) -> bool {
+        let upstream = self.upstream_index(&life.upstream);
+        upstream.is_some_and(|index| {
+            let upstream = &self.upstreams[index];
+            upstream.listed && upstream.incarnation == life.incarnation
+        })
+    }
+
+    /// Ends a job one of whose tasks crashes its upstreams.
+    pub(super) fn give_up_crashing(&mut self, job: usize) {
+        let state = &self.jobs[job];
+        let exhausted = state
+            .units
+            .iter()
+            .position(|unit| unit.crashes.is_exhausted());
+        let Some(unit) = exhausted.filter(|_| !state.phase.is_over()) else {
+            return;
+        };
+        log::warn!(
+            job = state.id.as_str(), unit, crashes:? = state.units[unit].crashes.rows();
+            "owner: a task crashes its upstreams; its job is given up."
+        );
+        metrics::counter!("hemlockramp_jobs_given_up_total").increment(1);
+        self.set_phase(job, JobPhase::Failed);
+    }
+}
--- a/src/work/owner/job_state.rs
+++ b/src/work/owner/job_state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::tables::name::ObjectName;
+use crate::work::crash_history::CrashHistory;
 use crate::work::record::{AssignmentRecord, JobPhase, JobRecord, RunRecord, UnitRecord};
 use crate::work::slowdown::TaskProgress;
 use crate::work::spec::StepSpec;
@@ -96,6 +97,8 @@
     pub since_ms: u64,
     /// Upstreams where its runs failed, newest last.
     pub failed_on: Vec<ObjectName>,
+    /// Its runs that were lost with their upstreams.
+    pub crashes: CrashHistory,
     /// How often the unit was preempted.
     pub preempted: u32,
     /// Whether the reason for the current wait has been logged.
@@ -178,6 +181,7 @@
             unit.run = record.run;
             unit.failed = record.failed;
             unit.failed_run = record.failed_run;
+            unit.crashes = CrashHistory::from(record.crashes.as_slice());
             unit.checkpoint = record.checkpoint.clone();
             unit.resumed = record.checkpoint.clone();
             for place in &record.places {
@@ -306,6 +310,7 @@
         run: unit.run,
         failed: unit.failed,
         failed_run: unit.failed_run,
+        crashes: unit.crashes.rows().to_vec(),
         checkpoint: checkpoint.clone(),
         places: unit.members.iter().enumerate().filter_map(place).collect(),
     }
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -5,6 +5,7 @@
 //! into batches, and both wait until their batch is durable.
 
 pub mod cancel;
+mod crashes;
 pub mod job_state;
 mod placement_pool;
 pub mod planning;
@@ -242,6 +243,8 @@
                 "owner: an upstream has restarted; it gets no new work until it answers a renewal."
             );
         }
+        let life = upstream.life();
+        self.resolve_losses(&life);
     }
 
     /// Releases a member from its upstream.
@@ -275,8 +278,10 @@
             "owner: a run is lost."
         );
         metrics::counter!("hemlockramp_runs_lost_total").increment(1);
+        self.note_lost_run(job, unit, member);
         self.clear_member(job, unit, member);
         self.stop_unit(job, unit);
+        self.give_up_crashing(job);
     }
 
     /// Stops the remaining members of a unit's run; the unit waits again once none is placed.
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -11,7 +11,8 @@
 use crate::work::owner::team_usage::TeamUsage;
 use crate::work::owner::upstream_state::HeldTask;
 use crate::work::placement::{
-    CandidateUpstream, CapacityClaim, UnitDemand, claim_rank, fits_in_one_rack, place_unit,
+    CandidateUpstream, CapacityClaim, Isolation, UnitDemand, claim_rank, fits_in_one_rack,
+    place_unit,
 };
 use crate::work::queue_order::{OrderKey, WaitingUnit, order_key};
 use crate::work::slowdown::SpeedPreference;
@@ -191,6 +192,7 @@
                 1 => SpeedPreference::Any,
                 _ => SpeedPreference::Slow,
             },
+            isolation: state.units[unit].crashes.isolation(waited_ms),
         };
         if step.spread_max > 0 {
             demand.siblings = self.siblings(job, unit);
@@ -232,7 +234,11 @@
             // another's.
             let own_search =
                 waiting_step.waiting.guaranteed && round.guaranteed < GUARANTEED_UNITS_MAX;
+            let isolated = demand.isolation == Isolation::Required;
             if !own_search && round.unplaceable.contains(&demand) {
+                if isolated {
+                    continue;
+                }
                 return;
             }
             let claim = CapacityClaim {
@@ -244,7 +250,14 @@
                 self.log_wait(job, unit, "headroom for urgent work", pool);
                 return;
             }
-            let Some(chosen) = place_unit(&demand, &claim, &pool.candidates) else {
+            let chosen = place_unit(&demand, &claim, &pool.candidates);
+            if chosen.is_none() && isolated {
+                // Other units of the step may share upstreams, and so may this one before long.
+                self.log_wait(job, unit, "no upstream of its own", pool);
+                round.unplaceable.push(demand);
+                continue;
+            }
+            let Some(chosen) = chosen else {
                 let blocked = BlockedUnit {
                     waiting: &waiting_step.waiting,
                     demand: &demand,
@@ -256,7 +269,7 @@
                 round.unplaceable.push(demand);
                 return;
             };
-            self.assign(job, unit, pool, &chosen);
+            self.assign(job, unit, pool, &chosen, isolated);
         }
     }
 
@@ -274,7 +287,14 @@
         );
     }
 
-    fn assign(&mut self, job: usize, unit: usize, pool: &mut PlacementPool, chosen: &[usize]) {
+    fn assign(
+        &mut self,
+        job: usize,
+        unit: usize,
+        pool: &mut PlacementPool,
+        chosen: &[usize],
+        isolated: bool,
+    ) {
         let id = self.jobs[job].id.clone();
         let need = self.jobs[job].step(unit).need;
         let now_ms = self.now.steady_ms;
@@ -300,6 +320,7 @@
                 unit,
                 member,
                 need,
+                isolated,
             });
             pool.set_free(index, upstream.free());
             let place = MemberState {
--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -213,7 +213,8 @@
         if !upstream.reconciled && upstream.restarts > 0 {
             upstream.allow_for_misdirected_leases(now_ms, lease_max_ms);
         }
-        if upstream.missed_renewals > 0 {
+        let answers_again = upstream.missed_renewals > 0;
+        if answers_again {
             log::info!(upstream = name.as_str(); "owner: an upstream answers again; its leases are renewed.");
             self.placement_due = true;
         }
@@ -223,6 +224,10 @@
         upstream.missed_renewals = 0;
         upstream.clock = Some(upstream.clock.map_or(reading, |old| old.later(reading)));
         upstream.next_renewal_ms = now_ms;
+        let incarnation = upstream.incarnation;
+        if answers_again {
+            self.refute_losses(&name, incarnation);
+        }
         self.reconcile_running(&name, &reply);
         self.reconcile_ended(index, &reply.ended);
         self.reconcile_missing(&name, &reply);
--- a/src/work/owner/restore.rs
+++ b/src/work/owner/restore.rs
@@ -31,6 +31,7 @@
         }
         let over = job.phase.is_over();
         self.jobs.insert(index, job);
+        self.resolve_restored_losses(index);
         if over {
             self.stop_job(index);
         } else {
@@ -53,6 +54,7 @@
         } else if failed {
             self.set_phase(job, JobPhase::Failed);
         }
+        self.give_up_crashing(job);
     }
 
     /// Reserves what a restored job already holds on upstreams.
@@ -67,6 +69,7 @@
                     unit,
                     member,
                     need: job.step(unit).need,
+                    isolated: unit_state.crashes.is_isolated(),
                 };
                 let prior_leases_expire_ms = self.prior_leases_expire_ms;
                 let upstream = self.upstream_mut(name);
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -5,6 +5,7 @@
 use crate::tables::name::ObjectName;
 use crate::work::amount::ResourceAmount;
 use crate::work::clock::{ClockReading, drift_safe_wait_ms};
+use crate::work::crash_record::UpstreamLife;
 use crate::work::placement::CapacityClaim;
 use crate::work::slowdown::UpstreamSlowdown;
 use crate::work::upstream::{OrderTarget, UpstreamReport};
@@ -28,6 +29,8 @@
     pub member: usize,
     /// Capacity that the task holds.
     pub need: ResourceAmount,
+    /// Whether only tasks of its unit may run beside it.
+    pub isolated: bool,
 }
 
 /// State of an upstream.
@@ -140,8 +143,20 @@
             && (self.reconciled || (self.held.is_empty() && self.restarts == 0))
     }
 
-    /// Returns the free capacity.
+    /// Returns its current life.
+    pub fn life(&self) -> UpstreamLife {
+        UpstreamLife {
+            upstream: self.name.clone(),
+            address: self.address,
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Returns the free capacity; none while an isolated task is there.
     pub fn free(&self) -> ResourceAmount {
+        if self.held.iter().any(|task| task.isolated) {
+            return ResourceAmount::default();
+        }
         let capacity = self.report.as_ref().map(|report| report.capacity);
         capacity.unwrap_or_default().minus(&self.used)
     }
--- a/src/work/placement.rs
+++ b/src/work/placement.rs
@@ -48,6 +48,10 @@
 }
 
 impl CandidateUpstream {
+    fn is_idle(&self) -> bool {
+        self.free == self.capacity
+    }
+
     fn admits(&self, claim: &CapacityClaim) -> bool {
         let Some(reserved) = &self.reserved else {
             return true;
@@ -56,6 +60,18 @@
     }
 }
 
+/// How far a unit is kept away from other work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Isolation {
+    /// It may run beside other work.
+    #[default]
+    None,
+    /// Idle upstreams are preferred.
+    Preferred,
+    /// Only idle upstreams may be used.
+    Required,
+}
+
 /// Requirements of a unit.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct UnitDemand {
@@ -81,6 +97,8 @@
     pub avoided_upstreams: Vec<ObjectName>,
     /// Preferred speed of the upstreams.
     pub speed: SpeedPreference,
+    /// How far the unit is kept away from other work.
+    pub isolation: Isolation,
 }
 
 /// Chooses an upstream for each task of a unit, as indexes into `candidates`. Returns `None` if the
@@ -187,14 +205,15 @@
 /// Quantization steps per unit of failure score; scores within the same step compare as equal.
 const FAILURE_SCORE_STEPS: f64 = 4.0;
 
-/// Returns the sort key: avoided upstreams last, then fewer failures, then the preferred speed,
+/// Returns the sort key: avoided upstreams and, for work to be isolated, busy ones last, then fewer failures, then the preferred speed,
 /// then the least free capacity, so that empty upstreams stay available.
 fn placement_score(demand: &UnitDemand, upstream: &CandidateUpstream) -> PlacementScore {
     let avoided = demand.avoided_upstreams.contains(&upstream.name);
+    let shared = demand.isolation != Isolation::None && !upstream.is_idle();
     let failure_steps = (upstream.failure_score * FAILURE_SCORE_STEPS) as u64;
     let speed_penalty = upstream.slowdown.penalty(demand.speed);
     (
-        avoided,
+        avoided || shared,
         failure_steps,
         speed_penalty,
         upstream.free.total_share(&upstream.capacity),
@@ -242,6 +261,9 @@
 }
 
 fn free_task_slots(demand: &UnitDemand, upstream: &CandidateUpstream) -> usize {
+    if demand.isolation == Isolation::Required && !upstream.is_idle() {
+        return 0;
+    }
     task_slots(demand, upstream, &upstream.free)
 }
 
--- a/src/work/record.rs
+++ b/src/work/record.rs
@@ -9,6 +9,7 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::config::QueueRule;
+use crate::work::crash_record::CrashRecord;
 use crate::work::spec::WorkSpec;
 use crate::work::stream::KeyedValue;
 
@@ -112,6 +113,9 @@
     /// Newest known checkpoint; empty for none.
     #[serde(rename = "saved")]
     pub checkpoint: Arc<str>,
+    /// Runs of members that were lost with their upstream.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<CrashRecord>,
     /// Members that may still be running on an upstream.
     pub places: Vec<AssignmentRecord>,
 }
