Stop retrying a request that got no whole answer from three runners

What callers could see: an idempotent request that crashes what runs it was sent to runner after runner, 12 in 5 s in the new test, for as long as the retry budget that all requests share lasted, and took the budget from the others. Fix: after three attempts that may have run and brought no whole answer the failure is returned, with the verdict that it may have run. Refusals and connections that fail before the request do not count. Evidence: request_that_crashes_its_runners_is_given_up failed before (12 runners, bound 5) and passes now; the tests of requests, pools and processes pass.

--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -23,6 +23,9 @@
 const BACKOFF_BASE_MS: u64 = 10;
 /// Most doublings of the bound on the backoff.
 const BACKOFF_DOUBLINGS_MAX: u32 = 5;
+/// Attempts of one request that may have run and got no whole answer after which it is not retried.
+/// The request may itself crash the runners.
+const UNANSWERED_ATTEMPTS_MAX: u32 = 3;
 /// Status of a failure that stands for a refusal by a runner.
 const REFUSED_STATUS: u16 = 429;
 /// Retry time sent to callers when no runner has a free slot, in ms.
@@ -107,6 +110,7 @@
         lock(&self.budget).deposit();
         let mut tried: Vec<ObjectName> = Vec::new();
         let mut may_have_run = false;
+        let mut unanswered = 0;
         loop {
             let permit = match self.acquire_slot(&tried, options.deadline).await {
                 Ok(permit) => permit,
@@ -120,9 +124,11 @@
             let done =
                 matches!(&result, Ok(response) if !options.idempotent || response.status < 500);
             let safe = options.idempotent || !may_have_run;
+            unanswered += u32::from(ran && result.is_err());
             tried.push(runner);
             if done
                 || !safe
+                || unanswered >= UNANSWERED_ATTEMPTS_MAX
                 || !self
                     .wait_before_retry(&result, tried.len(), options.deadline)
                     .await
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -23,6 +23,9 @@
 /// Number of request slots of a runner.
 const SLOTS: usize = 8;
 const SEED: u64 = 0x7265_7175;
+/// Runners that one request may crash: three, and fewer than three more, which is the platform's
+/// bound for tasks.
+const CRASHED_RUNNERS_MAX: usize = 5;
 
 /// Fake runners with one router for each entry host.
 struct RouterBench {
@@ -297,3 +300,39 @@
         }
     }
 }
+
+/// Guards against one request that crashes runner after runner: each broke its connection without an
+/// answer, and the request was retried on the next for as long as the shared budget lasted.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_crashes_its_runners_is_given_up() {
+    struct Case {
+        name: &'static str,
+        mode: FaultMode,
+    }
+    let cases = [
+        Case {
+            name: "lost",
+            mode: FaultMode::LoseAnswer,
+        },
+        Case {
+            name: "truncated",
+            mode: FaultMode::Truncate,
+        },
+    ];
+    for case in cases {
+        let bench = RouterBench::start(8, 1);
+        for runner in 0..8 {
+            bench.fault(runner, case.mode, 0, 20);
+        }
+        let failure = send(&bench.routers[0], case.name, true, 5_000)
+            .await
+            .expect_err("no runner answers");
+        assert_eq!(failure.verdict, RunVerdict::MayHaveRun, "{}", case.name);
+        let crashed = bench.effects(case.name);
+        assert!(
+            crashed <= CRASHED_RUNNERS_MAX,
+            "{}: {crashed} runners",
+            case.name
+        );
+    }
+}
