Do not count a lost run against an upstream that answers

An upstream that answers in the same life and does not know a run never got its start or let its lease lapse: nothing crashed. Such a loss could never be taken back, as the upstream does not answer 'again'. Found by reading the diff. The search for a later life no longer copies every upstream's name.

--- a/src/work/owner/crashes.rs
+++ b/src/work/owner/crashes.rs
@@ -8,8 +8,9 @@
 use crate::work::record::JobPhase;
 
 impl PoolOwner {
-    /// Notes that a member's run was lost with its upstream. A start that has not been sent, and an
-    /// upstream that had announced its shutdown, do not count.
+    /// Notes that a member's run was lost with its upstream. A start that has not been sent, an
+    /// upstream that answers and does not know the run, and one that had announced its shutdown do
+    /// not count.
     pub(super) fn note_lost_run(&mut self, job: usize, unit: usize, member: usize) {
         let state = &self.jobs[job].units[unit].members[member];
         let sent = matches!(state.phase, MemberPhase::Sent | MemberPhase::Running);
@@ -18,7 +19,11 @@
         };
         let upstream = self.upstream_index(&name).map(|at| &self.upstreams[at]);
         let report = upstream.and_then(|upstream| upstream.report.as_ref());
-        if report.is_some_and(|report| report.draining) {
+        let leaves = report.is_some_and(|report| report.draining);
+        let answers = upstream.is_some_and(|upstream| {
+            upstream.missed_renewals == 0 && upstream.incarnation == state.incarnation
+        });
+        if leaves || answers {
             return;
         }
         let loss = LossRecord {
@@ -40,8 +45,12 @@
 
     /// Returns a known life that has followed this one, if there is any.
     fn later_life(&self, life: &UpstreamLife) -> Option<UpstreamLife> {
-        let mut lives = self.upstreams.iter().map(UpstreamState::life);
-        lives.find(|other| other.follows(life))
+        let mut later = self
+            .upstreams
+            .iter()
+            .filter(|upstream| upstream.incarnation > life.incarnation)
+            .map(UpstreamState::life);
+        later.find(|other| other.follows(life))
     }
 
     /// Counts the lost runs that a new life proves to be crashes.
