--- a/tests/pool_owner.rs
+++ b/tests/pool_owner.rs
@@ -390,6 +390,21 @@
     assert_no_violations(&pool);
 }
 
+/// Guards against work that is given up although no upstream crashed: a run that an answering upstream
+/// does not know counted as lost with it.
+#[test]
+fn run_that_an_answering_upstream_does_not_know_is_no_crash() {
+    let mut pool = pool(SEED, 4);
+    pool.submit("a", "plain", vec![step(1, 2_500, 1, false)]);
+    for _ in 0..=CRASHING_STARTS_MAX {
+        pool.run_for(1_500);
+        pool.forget_run("a.0.0.0");
+    }
+    pool.run_for(6_000);
+    assert_eq!(pool.phase("a"), JobPhase::Completed);
+    assert_no_violations(&pool);
+}
+
 #[test]
 fn work_of_restarted_upstream_is_rescheduled_at_once() {
     let mut pool = pool(SEED, 1);
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -804,6 +804,15 @@
         self.end(index, &run, kind);
     }
 
+    /// Removes a task's run from its upstream without an end, as if its start had never arrived.
+    pub fn forget_run(&mut self, task: &str) {
+        let upstream = self.running(task).expect("a run");
+        let found = self.upstreams.iter().position(|one| one.name == upstream);
+        let index = found.expect("an upstream");
+        self.upstreams[index].runs.retain(|run| run.task != task);
+        self.remove_running(task, &upstream);
+    }
+
     /// Lets an upstream list the successful end of a task's first run, as if a start order that was
     /// on its way had reached it and the run had ended since.
     pub fn end_unread(&mut self, index: usize, task: &str) {
