--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -11,7 +11,7 @@
 temporary=$(mktemp -d) || exit 2
 # Job control gives the rig and the hosts that it starts a process group of their own.
 set -m
-target/review/rig cut-runners "$here" "$temporary" &
+target/review/rig many-ends "$here" "$temporary" &
 rig=$!
 set +m
 trap 'kill -KILL -- -$rig 2>/dev/null; rm -rf "$temporary"' EXIT
