Store task state in bounded rows, and pass over what the store refuses for good

Callers saw: after a job of 8,640 tasks was accepted, nothing started or ended any more for any job.

Cause: the state of all tasks of a job was one record. From about 7,300 tasks on it exceeds the store's limit; the store's 400 counted as transient, and the owner repeated its only append to the runs stream for ever. The same code put all changed jobs into one call without regard to the limit of a call. Ruled out: an owner that is too slow; with the rows the job runs on the same hosts.

Now the state is stored in rows of 32 tasks; a change writes the rows that it touches. Appends are divided by the store's limits, which come from the platform's settings. A refusal that can never succeed is a failure of its own: the writer halves the call until the record at fault is alone and passes over it; its caller gets 413 with the reason at once.

--- a/src/work/claim.rs
+++ b/src/work/claim.rs
@@ -10,7 +10,7 @@
 use crate::work::owner::PoolOwner;
 use crate::work::owner_election::next_term;
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
-use crate::work::record::{OwnerRecord, RunRecord, WorkRecord, decode_run_record};
+use crate::work::record::{OwnerRecord, RunRow, WorkRecord, decode_run_row};
 use crate::work::stream::{
     KeyedValue, StoreCall, StoreFailure, StreamName, StreamRecord, WriterStamp,
 };
@@ -105,37 +105,49 @@
     Ok(records)
 }
 
-/// The stored state of one job's tasks.
-struct StoredRun {
+/// The stored rows of one job's tasks, sorted by number.
+struct StoredRuns {
     job: ObjectName,
-    record: RunRecord,
+    rows: Vec<RunRow>,
 }
 
-/// Returns the stored run records, sorted by job. Call it only after the fence: from then on
+/// Returns the stored rows of tasks, sorted by job. Call it only after the fence: from then on
 /// only this host changes the stream.
 async fn list_runs<S: StorePort, O, R>(
     context: &HostContext<S, O, R>,
-) -> Result<Vec<StoredRun>, StoreFailure> {
-    let mut runs = Vec::new();
+) -> Result<Vec<StoredRuns>, StoreFailure> {
+    let mut runs: Vec<StoredRuns> = Vec::new();
     for record in list_all(context, StreamName::Runs).await? {
         if record.entry.key == FENCE_KEY || record.entry.value.is_empty() {
             continue;
         }
-        match decode_run_record(&record.entry) {
-            Ok((job, record)) => runs.push(StoredRun { job, record }),
+        match decode_run_row(&record.entry) {
+            Ok((job, row)) => add_row(&mut runs, job, row),
             Err(error) => {
-                log::error!("owner: skipping a run record that cannot be decoded: {error}.");
+                log::error!("owner: skipping a row of runs that cannot be decoded: {error}.");
             }
         }
     }
-    runs.sort_by(|left, right| left.job.cmp(&right.job));
+    for stored in &mut runs {
+        stored.rows.sort_by_key(|row| row.number);
+    }
     Ok(runs)
 }
 
+fn add_row(runs: &mut Vec<StoredRuns>, job: ObjectName, row: RunRow) {
+    match runs.binary_search_by(|stored| stored.job.cmp(&job)) {
+        Ok(index) => runs[index].rows.push(row),
+        Err(index) => {
+            let rows = vec![row];
+            runs.insert(index, StoredRuns { job, rows });
+        }
+    }
+}
+
 fn install_owner<S: StorePort, O, R: RecordReader>(
     context: &HostContext<S, O, R>,
     term: u64,
-    runs: &[StoredRun],
+    runs: &[StoredRuns],
     reports: &[StreamRecord],
 ) -> Result<(), Report> {
     let config = context
@@ -151,9 +163,9 @@
     for job in &context.jobs_view.borrow().jobs {
         let Some(record) = &job.record else { continue };
         let stored = runs.binary_search_by(|run| run.job.cmp(&job.id)).ok();
-        let stored = stored.map(|index| &runs[index].record);
+        let stored = stored.map_or(&[][..], |index| runs[index].rows.as_slice());
         // A job that is over is kept while any of its runs may still be active.
-        if !job.phase.is_over() || stored.is_some() {
+        if !job.phase.is_over() || !stored.is_empty() {
             owner.add_job(&job.id, Rc::clone(record), job.phase, stored);
         }
         if job.cancelled {
--- a/src/work/host_context.rs
+++ b/src/work/host_context.rs
@@ -18,6 +18,7 @@
 use crate::work::peers::PeerSet;
 use crate::work::ports::{RecordReader, StorePort};
 use crate::work::relay::RelayStore;
+use crate::work::store_limits::StoreLimits;
 use crate::work::stream::{
     KeyedValue, StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord,
 };
@@ -53,6 +54,8 @@
     pub large: bool,
     /// Time limits of the owner.
     pub timing: OwnerTiming,
+    /// Sizes that the store accepts.
+    pub limits: StoreLimits,
 }
 
 /// State that all tasks of one host share.
@@ -202,7 +205,7 @@
         if let Some(record) = &job.record
             && !job.phase.is_over()
         {
-            owner.add_job(id, Rc::clone(record), job.phase, None);
+            owner.add_job(id, Rc::clone(record), job.phase, &[]);
         }
         if job.cancelled {
             owner.cancel(id);
--- a/src/work/job_service.rs
+++ b/src/work/job_service.rs
@@ -41,6 +41,8 @@
         retry_ms: u64,
         reason: String,
     },
+    /// Nothing was stored, and the same call can never succeed; the text is the reason.
+    NotStorable(String),
     /// The record may or may not have been stored.
     Unsure,
 }
@@ -90,7 +92,8 @@
     ///
     /// # Errors
     ///
-    /// Returns `NotRun` only if no attempt can have been stored, else `Unsure`.
+    /// Returns `NotRun` only if no attempt can have been stored, else `Unsure`; `NotStorable` if the
+    /// store can never take the job.
     pub async fn submit(
         &self,
         call: &AdmittedCall,
@@ -187,6 +190,10 @@
     /// Appends a record, retrying until the deadline. The stream may then hold the record twice,
     /// which has no effect.
     async fn store(&self, entry: KeyedValue, deadline_ms: u64) -> Result<(), CallRefusal> {
+        let limits = self.context.identity.limits;
+        if !limits.admits(&entry) {
+            return Err(CallRefusal::NotStorable(limits.excess(&entry)));
+        }
         if self.is_unavailable() {
             return Err(self.unavailable("the store is away"));
         }
@@ -196,6 +203,9 @@
             let limit = Duration::from_millis(left_ms.max(1));
             match timeout(limit, self.context.store_record(&entry)).await {
                 Ok(Ok(())) => return Ok(()),
+                Ok(Err(StoreFailure::Refused(reason))) if !outcome_unknown => {
+                    return Err(CallRefusal::NotStorable(reason));
+                }
                 Ok(Err(StoreFailure::Unknown(_))) | Err(_) => outcome_unknown = true,
                 Ok(Err(failure)) => {
                     log::debug!(
--- a/src/work/mod.rs
+++ b/src/work/mod.rs
@@ -32,6 +32,7 @@
 pub mod slowdown;
 pub mod spec;
 pub mod store_health;
+pub mod store_limits;
 pub mod stream;
 pub mod task_ref;
 pub mod upstream;
--- a/src/work/owner/crashes.rs
+++ b/src/work/owner/crashes.rs
@@ -56,12 +56,15 @@
     /// Counts the lost runs that a new life proves to be crashes.
     pub(super) fn resolve_losses(&mut self, life: &UpstreamLife) {
         for job in 0..self.jobs.len() {
-            let mut resolved = false;
-            for unit in &mut self.jobs[job].units {
-                resolved |= unit.crashes.resolve(life);
+            let state = &mut self.jobs[job];
+            let mut any = false;
+            for unit in 0..state.units.len() {
+                if state.units[unit].crashes.resolve(life) {
+                    state.rows.mark_unit(unit);
+                    any = true;
+                }
             }
-            if resolved {
-                self.jobs[job].dirty = true;
+            if any {
                 self.give_up_crashing(job);
             }
         }
@@ -75,8 +78,10 @@
             incarnation,
         };
         for job in &mut self.jobs {
-            for unit in &mut job.units {
-                job.dirty |= unit.crashes.refute(&life);
+            for unit in 0..job.units.len() {
+                if job.units[unit].crashes.refute(&life) {
+                    job.rows.mark_unit(unit);
+                }
             }
         }
     }
@@ -90,11 +95,14 @@
                 let later_life = self.later_life(&loss.life);
                 let lives_on = self.is_listed(&loss.life);
                 let crashes = &mut self.jobs[job].units[unit].crashes;
-                self.jobs[job].dirty |= match later_life {
+                let changed = match later_life {
                     Some(life) => crashes.resolve(&life),
                     None if lives_on => crashes.refute(&loss.life),
                     None => false,
                 };
+                if changed {
+                    self.jobs[job].rows.mark_unit(unit);
+                }
             }
         }
     }
--- a/src/work/owner/job_state.rs
+++ b/src/work/owner/job_state.rs
@@ -5,7 +5,8 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::crash_history::CrashHistory;
-use crate::work::record::{AssignmentRecord, JobPhase, JobRecord, RunRecord, UnitRecord};
+use crate::work::owner::task_rows::TaskRows;
+use crate::work::record::{JobPhase, JobRecord};
 use crate::work::slowdown::TaskProgress;
 use crate::work::spec::StepSpec;
 use crate::work::task_ref::TaskRef;
@@ -148,8 +149,8 @@
     pub phase: JobPhase,
     /// Phase last queued for the stream of jobs.
     pub recorded_phase: JobPhase,
-    /// Whether task state changed since it was last recorded.
-    pub dirty: bool,
+    /// Rows of the runs stream that hold the task state.
+    pub rows: TaskRows,
     /// Whether members may need orders.
     pub orders_due: bool,
 }
@@ -167,48 +168,14 @@
             units: shapes.iter().map(empty).collect(),
             id,
             record,
+            rows: TaskRows::new(&shapes),
             shapes,
             phase,
             recorded_phase: phase,
-            dirty: false,
             orders_due: true,
         }
     }
 
-    /// Restores the task state that an earlier owner recorded.
-    pub fn restore(&mut self, stored: &RunRecord) {
-        for (unit, record) in self.units.iter_mut().zip(&stored.units) {
-            unit.run = record.run;
-            unit.failed = record.failed;
-            unit.failed_run = record.failed_run;
-            unit.crashes = CrashHistory::from(record.crashes.as_slice());
-            unit.checkpoint = record.checkpoint.clone();
-            unit.resumed = record.checkpoint.clone();
-            for place in &record.places {
-                if let Some(member) = unit.members.get_mut(place.member as usize) {
-                    member.phase = MemberPhase::Sent;
-                    member.start_unconfirmed = true;
-                    member.upstream = Some(place.upstream.clone());
-                    member.incarnation = place.incarnation;
-                }
-            }
-            let all_placed = record.places.len() == unit.members.len();
-            unit.phase = match record.done {
-                true => UnitPhase::Done,
-                false if unit.is_clear() => UnitPhase::Waiting,
-                false if all_placed => UnitPhase::Active,
-                false => UnitPhase::Stopping,
-            };
-        }
-    }
-
-    /// Returns the task state to record.
-    pub fn run_record(&self) -> RunRecord {
-        RunRecord {
-            units: self.units.iter().map(unit_record).collect(),
-        }
-    }
-
     /// Returns the step to which a unit belongs.
     pub fn step(&self, unit: usize) -> &StepSpec {
         &self.record.spec.steps[self.shapes[unit].step as usize]
@@ -290,32 +257,6 @@
     }
 }
 
-fn unit_record(unit: &UnitState) -> UnitRecord {
-    let place = |(index, member): (usize, &MemberState)| {
-        let upstream = member.upstream.clone()?;
-        Some(AssignmentRecord {
-            member: index as u32,
-            upstream,
-            incarnation: member.incarnation,
-        })
-    };
-    // While a run is starting or running, the recorded checkpoint must stay the one it was started
-    // with.
-    let checkpoint = match unit.phase {
-        UnitPhase::Active => &unit.resumed,
-        _ => &unit.checkpoint,
-    };
-    UnitRecord {
-        done: unit.phase == UnitPhase::Done,
-        run: unit.run,
-        failed: unit.failed,
-        failed_run: unit.failed_run,
-        crashes: unit.crashes.rows().to_vec(),
-        checkpoint: checkpoint.clone(),
-        places: unit.members.iter().enumerate().filter_map(place).collect(),
-    }
-}
-
 fn unit_shapes(record: &JobRecord) -> Vec<UnitShape> {
     let mut shapes = Vec::new();
     for round in 0..record.spec.rounds() {
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -15,6 +15,7 @@
 pub mod renewals;
 pub mod replies;
 mod restore;
+pub mod task_rows;
 mod team_usage;
 mod timing;
 pub mod upstream_state;
@@ -66,11 +67,12 @@
     ready: Vec<UpstreamOrder>,
     batch: u64,
     phases: Vec<(ObjectName, JobPhase)>,
-    finished: Vec<ObjectName>,
+    /// Keys of the stored rows of finished jobs.
+    finished: Vec<String>,
     /// Jobs that ended in this term, sorted by id.
     ended: Vec<ObjectName>,
     final_rows: Vec<KeyedValue>,
-    rows_to_drop: Vec<ObjectName>,
+    rows_to_drop: Vec<String>,
     now: HostTime,
     placement_due: bool,
     /// Time of the last placement round, steady ms.
@@ -254,7 +256,7 @@
         state.start_unconfirmed = false;
         state.in_flight = false;
         state.percent = 0;
-        self.jobs[job].dirty = true;
+        self.jobs[job].rows.mark_member(unit, member);
         self.placement_due = true;
         if let Some(name) = upstream
             && let Some(index) = self.upstream_index(&name)
@@ -287,7 +289,7 @@
         let state = &mut self.jobs[job].units[unit];
         if state.phase == UnitPhase::Active {
             state.phase = UnitPhase::Stopping;
-            self.jobs[job].dirty = true;
+            self.jobs[job].rows.mark_unit(unit);
             self.jobs[job].orders_due = true;
         }
         self.requeue_unit(job, unit);
@@ -299,7 +301,7 @@
         if state.phase == UnitPhase::Stopping && state.is_clear() {
             state.phase = UnitPhase::Waiting;
             state.since_ms = now_ms;
-            self.jobs[job].dirty = true;
+            self.jobs[job].rows.mark_unit(unit);
             self.placement_due = true;
         }
     }
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -332,7 +332,7 @@
             self.jobs[job].units[unit].members[member] = place;
         }
         self.release_reservation(&id, unit, pool);
-        self.jobs[job].dirty = true;
+        self.jobs[job].rows.mark_unit(unit);
         self.jobs[job].orders_due = true;
     }
 
--- a/src/work/owner/reconcile.rs
+++ b/src/work/owner/reconcile.rs
@@ -1,7 +1,5 @@
 //! Comparison of the runs that an upstream lists with those that the owner expects there.
 
-use std::sync::Arc;
-
 use crate::tables::name::ObjectName;
 use crate::work::owner::PoolOwner;
 use crate::work::owner::job_state::{MemberPhase, UnitPhase};
@@ -23,11 +21,8 @@
                 self.stop_orphaned_run(name, running);
                 continue;
             };
-            let unit_state = &mut self.jobs[job].units[unit];
-            if !running.checkpoint.is_empty() {
-                unit_state.checkpoint = Arc::clone(&running.checkpoint);
-            }
-            let state = &mut unit_state.members[member];
+            self.keep_checkpoint(job, unit, &running.checkpoint);
+            let state = &mut self.jobs[job].units[unit].members[member];
             state.start_unconfirmed = false;
             state.incarnation = incarnation;
             state.confirmed_ms = reply.clock_ms;
--- a/src/work/owner/recording.rs
+++ b/src/work/owner/recording.rs
@@ -1,9 +1,8 @@
 //! Batches of rows to record, and what may be done once they are stored.
 
-use crate::tables::name::ObjectName;
 use crate::work::owner::PoolOwner;
 use crate::work::owner::job_state::JobState;
-use crate::work::record::{WorkRecord, encode_run_record};
+use crate::work::record::{JobPhase, WorkRecord, job_of_row};
 use crate::work::stream::KeyedValue;
 
 /// Rows that must be stored before the orders of the same batch go out.
@@ -15,8 +14,8 @@
     pub runs: Vec<KeyedValue>,
     /// Rows for the stream of jobs, written after `runs`.
     pub jobs: Vec<KeyedValue>,
-    /// Finished jobs; their rows of runs may be dropped once `jobs` is in the store.
-    pub finished: Vec<ObjectName>,
+    /// Keys of finished jobs' rows of runs, which may be dropped once `jobs` is in the store.
+    pub finished: Vec<String>,
 }
 
 impl PoolOwner {
@@ -29,16 +28,13 @@
             }
         }
         let finished = |job: &JobState| job.phase.is_over() && job.is_clear();
-        for job in self.jobs.iter().filter(|job| finished(job)) {
-            self.finished.push(job.id.clone());
+        for job in self.jobs.iter_mut().filter(|job| finished(job)) {
+            // The job's last ends are acknowledged with this batch, before its phase is recorded.
+            self.final_rows.extend(job.take_changed_rows());
+            self.finished.extend(job.rows.stored_keys(&job.id));
             if let Err(index) = self.ended.binary_search(&job.id) {
                 self.ended.insert(index, job.id.clone());
             }
-            // The job's last ends are acknowledged with this batch, before its phase is recorded.
-            if job.dirty {
-                self.final_rows
-                    .push(encode_run_record(&job.id, Some(&job.run_record())));
-            }
         }
         self.jobs.retain(|job| !finished(job));
     }
@@ -50,14 +46,12 @@
             ..RowBatch::default()
         };
         batch.runs.append(&mut self.final_rows);
-        for job in self.jobs.iter_mut().filter(|job| job.dirty) {
-            job.dirty = false;
-            batch
-                .runs
-                .push(encode_run_record(&job.id, Some(&job.run_record())));
+        for job in &mut self.jobs {
+            batch.runs.extend(job.take_changed_rows());
         }
-        for job in self.rows_to_drop.drain(..) {
-            batch.runs.push(encode_run_record(&job, None));
+        for key in self.rows_to_drop.drain(..) {
+            let value = Vec::new();
+            batch.runs.push(KeyedValue { key, value });
         }
         for (job, phase) in self.phases.drain(..) {
             batch
@@ -98,8 +92,20 @@
         }
     }
 
-    /// Schedules the rows of finished jobs for deletion, once their final phase is in the store.
-    pub fn drop_rows(&mut self, finished: Vec<ObjectName>) {
+    /// Gives up the jobs whose rows the store refuses for good: what cannot be recorded must not run.
+    /// Call it before `on_durable` for their batch.
+    pub fn on_rows_refused(&mut self, keys: &[String]) {
+        for key in keys {
+            let job = job_of_row(key).ok().and_then(|id| self.job_index(&id));
+            log::error!(key = key.as_str(); "owner: the store refuses a row; its job is given up.");
+            if let Some(job) = job {
+                self.set_phase(job, JobPhase::Failed);
+            }
+        }
+    }
+
+    /// Schedules rows of finished jobs for deletion, once the final phases are in the store.
+    pub fn drop_rows(&mut self, finished: Vec<String>) {
         self.rows_to_drop.extend(finished);
     }
 }
--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -265,10 +265,7 @@
             return;
         };
         let lasting = self.jobs[job].step(unit).lasting;
-        let state = &mut self.jobs[job].units[unit];
-        if !end.checkpoint.is_empty() {
-            state.checkpoint = Arc::clone(&end.checkpoint);
-        }
+        self.keep_checkpoint(job, unit, &end.checkpoint);
         self.clear_member(job, unit, member);
         match end.kind {
             EndKind::Done if !lasting => self.on_done(job, unit, name),
@@ -277,6 +274,23 @@
         }
     }
 
+    /// Keeps a unit's newest checkpoint. One that is too long to be stored is left out, and the unit
+    /// would resume from the one before.
+    pub(super) fn keep_checkpoint(&mut self, job: usize, unit: usize, checkpoint: &Arc<str>) {
+        if checkpoint.is_empty() {
+            return;
+        }
+        let bytes_max = self.timing.checkpoint_max_bytes;
+        if checkpoint.len() > bytes_max {
+            log::debug!(
+                job = self.jobs[job].id.as_str(), unit, bytes = checkpoint.len(), bytes_max;
+                "owner: a checkpoint is too long to be kept."
+            );
+            return;
+        }
+        self.jobs[job].units[unit].checkpoint = Arc::clone(checkpoint);
+    }
+
     fn on_done(&mut self, job: usize, unit: usize, name: &ObjectName) {
         if let Some(index) = self.upstream_index(name) {
             self.upstreams[index].failure_score *= FAILURE_SCORE_DECAY;
--- a/src/work/owner/restore.rs
+++ b/src/work/owner/restore.rs
@@ -6,16 +6,16 @@
 use crate::work::owner::PoolOwner;
 use crate::work::owner::job_state::JobState;
 use crate::work::owner::upstream_state::HeldTask;
-use crate::work::record::{JobPhase, JobRecord, RunRecord};
+use crate::work::record::{JobPhase, JobRecord, RunRow};
 
 impl PoolOwner {
-    /// Adds a job, with the task state that an earlier owner recorded.
+    /// Adds a job, with the rows of its tasks that an earlier owner recorded, sorted by number.
     pub fn add_job(
         &mut self,
         id: &ObjectName,
         record: Rc<JobRecord>,
         phase: JobPhase,
-        stored: Option<&RunRecord>,
+        stored: &[RunRow],
     ) {
         let Err(index) = self.jobs.binary_search_by(|job| job.id.cmp(id)) else {
             return;
@@ -25,7 +25,7 @@
             return;
         }
         let mut job = JobState::new(id.clone(), record, phase, self.now.steady_ms);
-        if let Some(stored) = stored {
+        if !stored.is_empty() {
             job.restore(stored);
             self.restore_held_tasks(&job);
         }
--- a/src/work/owner/timing.rs
+++ b/src/work/owner/timing.rs
@@ -1,6 +1,6 @@
-//! Time limits and cost factors of the owner.
+//! Limits and cost factors of the owner.
 
-/// Time limits and cost factors that the owner works with.
+/// Limits and cost factors that the owner works with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct OwnerTiming {
     /// Length of a lease, in ms.
@@ -16,4 +16,6 @@
     pub reclaim_ms: u64,
     /// Longest time that stopping a run takes, in ms.
     pub stop_ms: u64,
+    /// Longest checkpoint that is kept, in bytes.
+    pub checkpoint_max_bytes: usize,
 }
--- a/src/work/owner_loop/mod.rs
+++ b/src/work/owner_loop/mod.rs
@@ -14,7 +14,6 @@
 
 use tokio::sync::Notify;
 
-use crate::tables::name::ObjectName;
 use crate::work::claim::{claim, owner_record};
 use crate::work::follow::StreamFollower;
 use crate::work::group_commit::PendingRecord;
@@ -22,10 +21,10 @@
 use crate::work::owner::{PoolOwner, RowBatch, UpstreamOrder};
 use crate::work::owner_election::should_step_down;
 use crate::work::owner_loop::report_sink::ReportSink;
-use crate::work::owner_loop::writer::OwnerWriter;
+use crate::work::owner_loop::writer::{AppendItem, ItemOutcome, OwnerWriter};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 use crate::work::record::WorkRecord;
-use crate::work::stream::{KeyedValue, StreamName, StreamRecord};
+use crate::work::stream::{KeyedValue, StoreFailure, StreamName, StreamRecord};
 
 /// Interval at which a host checks whether it should claim the pool.
 const ELECTION_POLL_MS: u64 = 50;
@@ -72,12 +71,12 @@
     )
 }
 
-/// Records queued for the jobs stream, and finished jobs whose records in the runs stream may be
-/// dropped once these are stored.
+/// Records queued for the jobs stream, and the keys of finished jobs' rows in the runs stream, which
+/// may be dropped once these are stored.
 #[derive(Debug, Default)]
 struct JobRows {
     rows: Vec<KeyedValue>,
-    finished: Vec<ObjectName>,
+    finished: Vec<String>,
 }
 
 impl JobRows {
@@ -102,6 +101,33 @@
     job_wake: Rc<Notify>,
 }
 
+/// A record for the jobs stream.
+#[derive(Debug)]
+enum JobsItem {
+    /// The owner's own record.
+    Own(KeyedValue),
+    /// A record that a caller or another host waits for.
+    Pending(PendingRecord),
+}
+
+impl JobsItem {
+    /// Ends the wait for a pending record that is not stored.
+    fn fail(self, failure: StoreFailure) {
+        if let Self::Pending(pending) = self {
+            pending.close(Err(failure));
+        }
+    }
+}
+
+impl AppendItem for JobsItem {
+    fn entry(&self) -> &KeyedValue {
+        match self {
+            Self::Own(entry) => entry,
+            Self::Pending(pending) => &pending.entry,
+        }
+    }
+}
+
 impl<S, O, R> Clone for OwnerLoop<S, O, R> {
     fn clone(&self) -> Self {
         Self {
@@ -261,16 +287,25 @@
     }
 
     async fn record_batch(self, batch: RowBatch) {
+        let mut refused = Vec::new();
         if !batch.runs.is_empty() {
             let sent_ms = steady_ms();
-            if let Err(failure) = self.runs.append(&self.context, batch.runs).await {
-                self.end(&failure.to_string());
+            let appended = self
+                .runs
+                .append_items(&self.context, batch.runs, |row, outcome| {
+                    if let ItemOutcome::Refused(_) = outcome {
+                        refused.push(row.key);
+                    }
+                });
+            if let Err(stop) = appended.await {
+                self.end(&stop.failure.to_string());
                 return;
             }
             self.confirmed_ms.set(sent_ms.max(self.confirmed_ms.get()));
         }
         let _ = self.with_owner(|owner| {
             owner.set_time(host_time());
+            owner.on_rows_refused(&refused);
             owner.on_durable(batch.number);
         });
         self.recording.set(false);
@@ -313,37 +348,46 @@
         self.context.group_commit.close(self.term);
     }
 
-    /// Appends the owner's rows and the pending records of callers and other hosts in one call.
-    /// Returns whether they are stored.
-    async fn append_jobs(&self, mut rows: Vec<KeyedValue>, pending: Vec<PendingRecord>) -> bool {
-        let own_rows = rows.len();
-        rows.extend(pending.iter().map(|row| row.entry.clone()));
+    /// Appends the owner's rows and the pending records of callers and other hosts, in one call if
+    /// they fit. Returns whether they are stored.
+    async fn append_jobs(&self, rows: Vec<KeyedValue>, pending: Vec<PendingRecord>) -> bool {
+        let own = rows.into_iter().map(JobsItem::Own);
+        let items = own.chain(pending.into_iter().map(JobsItem::Pending));
         let sent_ms = steady_ms();
-        match self.jobs.append(&self.context, rows).await {
-            Ok(reply) => {
-                self.confirmed_ms.set(sent_ms.max(self.confirmed_ms.get()));
-                self.apply_stored(pending, reply.first + own_rows as u64);
-                true
-            }
-            Err(failure) => {
-                for row in pending {
-                    row.close(Err(failure.clone()));
-                }
-                self.end(&failure.to_string());
-                false
-            }
+        let appended = self
+            .jobs
+            .append_items(&self.context, items.collect(), |item, outcome| {
+                self.close_item(item, outcome);
+            });
+        let Err(stop) = appended.await else {
+            self.confirmed_ms.set(sent_ms.max(self.confirmed_ms.get()));
+            return true;
+        };
+        for item in stop.failed {
+            item.fail(stop.failure.clone());
+        }
+        for item in stop.unsent {
+            item.fail(StoreFailure::NotDone(
+                "the owner's term has ended".to_owned(),
+            ));
         }
+        self.end(&stop.failure.to_string());
+        false
     }
 
-    /// Applies records that this host has just stored, without waiting to read them back.
-    fn apply_stored(&self, pending: Vec<PendingRecord>, first: u64) {
-        for (offset, row) in (first..).zip(pending) {
-            let record = StreamRecord {
-                offset,
-                entry: row.entry.clone(),
-            };
-            self.context.apply_jobs(&[record]);
-            row.close(Ok(()));
+    /// Ends the wait for a pending record. One that is stored is applied first, without waiting to
+    /// read it back.
+    fn close_item(&self, item: JobsItem, outcome: ItemOutcome) {
+        let JobsItem::Pending(pending) = item else {
+            return;
+        };
+        match outcome {
+            ItemOutcome::Stored(offset) => {
+                let entry = pending.entry.clone();
+                self.context.apply_jobs(&[StreamRecord { offset, entry }]);
+                pending.close(Ok(()));
+            }
+            ItemOutcome::Refused(reason) => pending.close(Err(StoreFailure::Refused(reason))),
         }
     }
 
--- a/src/work/record.rs
+++ b/src/work/record.rs
@@ -131,13 +131,26 @@
     pub incarnation: u64,
 }
 
-/// Stored state of a job's tasks, a record of the runs stream.
+/// Number of a job's consecutive tasks whose state shares a row. A row's size and the bytes that a
+/// change writes are bounded by it, not by the job.
+pub const TASKS_PER_ROW: u32 = 32;
+
+/// Stored state of consecutive tasks of a job, a record of the runs stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunRecord {
-    /// Units, ordered by round, step and index.
+    /// Units that have tasks in the row, ordered by round, step and index. A unit with tasks in
+    /// several rows is in each of them, with its tasks of that row.
     pub units: Vec<UnitRecord>,
 }
 
+/// A row of a job in the runs stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunRow {
+    /// Number of the row in its job; none for a row with all tasks, as older versions wrote it.
+    pub number: Option<u32>,
+    pub record: RunRecord,
+}
+
 /// Key of the owner's record.
 const OWNER_KEY: &str = "owner";
 
@@ -207,19 +220,45 @@
     }
 }
 
-/// Encodes the run record of a job; `None` gives an empty value, which deletes the record.
-pub fn encode_run_record(job: &ObjectName, record: Option<&RunRecord>) -> KeyedValue {
+/// Returns the key of a row of a job.
+pub fn run_row_key(job: &ObjectName, number: Option<u32>) -> String {
+    match number {
+        Some(number) => format!("{job}/{number}"),
+        None => job.to_string(),
+    }
+}
+
+/// Encodes a row of a job's tasks.
+pub fn encode_run_row(job: &ObjectName, row: &RunRow) -> KeyedValue {
     KeyedValue {
-        key: job.to_string(),
-        value: record.map(encode).unwrap_or_default(),
+        key: run_row_key(job, row.number),
+        value: encode(&row.record),
     }
 }
 
-/// Decodes the run record of a job.
+/// Returns the job of a row with this key.
+///
+/// # Errors
+///
+/// Returns an error if the key does not begin with a job id.
+pub fn job_of_row(key: &str) -> Result<ObjectName, Report> {
+    let job = key.split_once('/').map_or(key, |(job, _)| job);
+    ObjectName::try_from(job)
+}
+
+/// Decodes a row of a job's tasks.
 ///
 /// # Errors
 ///
-/// Returns an error if the key is not a job id or the value cannot be decoded.
-pub fn decode_run_record(entry: &KeyedValue) -> Result<(ObjectName, RunRecord), Report> {
-    Ok((ObjectName::try_from(entry.key.as_str())?, decode(entry)?))
+/// Returns an error if the key is not that of a row or the value cannot be decoded.
+pub fn decode_run_row(entry: &KeyedValue) -> Result<(ObjectName, RunRow), Report> {
+    let number = match entry.key.split_once('/') {
+        Some((_, number)) => Some(number.parse()?),
+        None => None,
+    };
+    let row = RunRow {
+        number,
+        record: decode(entry)?,
+    };
+    Ok((job_of_row(&entry.key)?, row))
 }
--- a/src/work/stream.rs
+++ b/src/work/stream.rs
@@ -27,6 +27,16 @@
     pub value: Vec<u8>,
 }
 
+/// Upper bound of what a record takes in a call beyond its key and value, in bytes.
+const RECORD_OVERHEAD_BYTES: usize = 8;
+
+impl KeyedValue {
+    /// Returns an upper bound of the record's size in the store and in a call, in bytes.
+    pub fn size(&self) -> usize {
+        self.key.len() + self.value.len() + RECORD_OVERHEAD_BYTES
+    }
+}
+
 /// A stored record with its offset.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamRecord {
@@ -114,6 +124,9 @@
     NotDone(String),
     /// The call may have been applied, or may still be; the text is the reason.
     Unknown(String),
+    /// The store can never apply the call, for example because a record exceeds its limit; the text
+    /// is the reason. The call was not applied.
+    Refused(String),
     /// The store has seen a later epoch of the writer; the call was not applied.
     Fenced,
     /// The stream ends at another offset than expected; the call was not applied.
@@ -143,6 +156,7 @@
         match self {
             Self::NotDone(reason) => write!(formatter, "not done: {reason}"),
             Self::Unknown(reason) => write!(formatter, "may be done: {reason}"),
+            Self::Refused(reason) => write!(formatter, "refused for good: {reason}"),
             Self::Fenced => formatter.write_str("another writer has taken over"),
             Self::Conflict => formatter.write_str("the stream has moved on"),
             Self::Trimmed => formatter.write_str("the records are gone"),
--- a/tests/pool_owner.rs
+++ b/tests/pool_owner.rs
@@ -755,6 +755,43 @@
     }
 }
 
+/// Owners die between the rows of a change. Jobs have gangs and steps that span rows. No task may
+/// run twice, and all jobs must end.
+#[test]
+fn owner_that_dies_between_rows_causes_no_duplicate_run() {
+    for seed in SEEDS {
+        let mut random = ChaCha8Rng::seed_from_u64(13_000 + seed);
+        let mut pool = pool(seed, 6);
+        pool.stores_first_rows = true;
+        pool.batch_delay_ms = 200;
+        for index in 0..8 {
+            let gang = random.random_bool(0.5);
+            let count = random.random_range(20..44);
+            let first = step(count, random.random_range(200..2_000), 1, gang);
+            let mut second = step(40, 400, 1, !gang);
+            second.after = vec![0];
+            pool.submit(&format!("j{index}"), "plain", vec![first, second]);
+            pool.run_for(random.random_range(50..900));
+            if random.random_bool(0.5) {
+                pool.take_over();
+            }
+        }
+        let mut left = 240;
+        while !pool.all_over() && left > 0 {
+            pool.run_for(1_000);
+            if left > 220 && random.random_bool(0.5) {
+                pool.take_over();
+            }
+            left -= 1;
+        }
+        if let Some(violation) = pool.violations.first() {
+            let task = violation.split(' ').next().expect("a task");
+            panic!("seed {seed}: {violation}: {:#?}", pool.trace_of(task));
+        }
+        assert!(pool.all_over(), "seed {seed}: a job has not ended");
+    }
+}
+
 fn inject_cut(pool: &mut PoolSim, random: &mut ChaCha8Rng) {
     let index = random.random_range(0..pool.upstreams.len());
     match random.random_range(0..8) {
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -10,7 +10,9 @@
 use hemlockramp::work::clock::HostTime;
 use hemlockramp::work::config::{QueueRule, RouteRow, TeamRule, WorkConfig};
 use hemlockramp::work::owner::{OwnerTiming, PoolOwner, RowBatch, UpstreamOrder};
-use hemlockramp::work::record::{JobPhase, JobRecord, RunRecord, WorkRecord, decode_run_record};
+use hemlockramp::work::record::{
+    JobPhase, JobRecord, RunRow, WorkRecord, decode_run_row, job_of_row,
+};
 use hemlockramp::work::spec::{StepSpec, WorkSpec};
 use hemlockramp::work::stream::KeyedValue;
 use hemlockramp::work::task_ref::TaskRef;
@@ -38,6 +40,7 @@
     far_factor: 3,
     reclaim_ms: 3_400,
     stop_ms: 900,
+    checkpoint_max_bytes: 1_000,
 };
 
 pub fn name(text: &str) -> ObjectName {
@@ -166,6 +169,8 @@
     pub crash_course: CrashCourse,
     /// Drops job phases instead of storing them while set.
     pub drop_phase_updates: bool,
+    /// Whether a change of owner leaves the first rows of a batch in flight in the store.
+    pub stores_first_rows: bool,
     term: u64,
     random: ChaCha8Rng,
     jobs: Vec<(ObjectName, Rc<JobRecord>, JobPhase, bool)>,
@@ -228,6 +233,7 @@
                 renamed: false,
             },
             drop_phase_updates: false,
+            stores_first_rows: false,
             term: 0,
             random,
             jobs: Vec::new(),
@@ -251,16 +257,16 @@
     /// Starts a new owner from the stored state, in place of the current one.
     pub fn take_over(&mut self) {
         self.term += 1;
-        self.batch = None;
+        self.interrupt_batch();
         self.add_trace(format!("owner {}", self.term));
         let mut owner = PoolOwner::new(self.term, TIMING, Rc::clone(&self.config), self.time());
         for report in self.reports() {
             owner.on_report(report);
         }
         for (id, record, phase, cancelled) in &self.jobs {
-            let stored_run = self.stored_run(id);
-            if !phase.is_over() || stored_run.is_some() {
-                owner.add_job(id, Rc::clone(record), *phase, stored_run.as_ref());
+            let stored = self.stored_rows(id);
+            if !phase.is_over() || !stored.is_empty() {
+                owner.add_job(id, Rc::clone(record), *phase, &stored);
             }
             if *cancelled {
                 owner.cancel(id);
@@ -269,6 +275,26 @@
         self.owner = Some(owner);
     }
 
+    /// Ends a batch in flight. Its rows may be stored by several calls, of which some were made.
+    fn interrupt_batch(&mut self) {
+        let Some((_, batch)) = self.batch.take() else {
+            return;
+        };
+        if self.stores_first_rows {
+            let count = self.random.random_range(0..=batch.runs.len());
+            self.store_rows(batch.runs.into_iter().take(count));
+        }
+    }
+
+    fn store_rows(&mut self, rows: impl Iterator<Item = KeyedValue>) {
+        for row in rows {
+            self.runs.retain(|(key, _)| *key != row.key);
+            if !row.value.is_empty() {
+                self.runs.push((row.key, row.value));
+            }
+        }
+    }
+
     /// Takes over from an owner that is paused and does not know; returns that owner.
     pub fn take_over_from_paused(&mut self) -> Option<PoolOwner> {
         let paused = self.owner.take();
@@ -292,13 +318,18 @@
         self.in_flight_orders.extend(in_flight);
     }
 
-    fn stored_run(&self, id: &ObjectName) -> Option<RunRecord> {
-        let (key, value) = self.runs.iter().find(|(key, _)| key == id.as_str())?;
-        let entry = KeyedValue {
-            key: key.clone(),
-            value: value.clone(),
-        };
-        Some(decode_run_record(&entry).expect("a valid record").1)
+    fn stored_rows(&self, id: &ObjectName) -> Vec<RunRow> {
+        let of_job = |row: &&(String, Vec<u8>)| job_of_row(&row.0).is_ok_and(|job| job == *id);
+        let decoded = self.runs.iter().filter(of_job).map(|(key, value)| {
+            let entry = KeyedValue {
+                key: key.clone(),
+                value: value.clone(),
+            };
+            decode_run_row(&entry).expect("a valid row").1
+        });
+        let mut rows: Vec<RunRow> = decoded.collect();
+        rows.sort_by_key(|row| row.number);
+        rows
     }
 
     fn reports(&self) -> Vec<UpstreamReport> {
@@ -342,7 +373,7 @@
         let time = self.time();
         if let Some(owner) = &mut self.owner {
             owner.set_time(time);
-            owner.add_job(&id, record, JobPhase::Queued, None);
+            owner.add_job(&id, record, JobPhase::Queued, &[]);
         }
     }
 
@@ -486,12 +517,7 @@
     }
 
     fn apply_batch(&mut self, batch: RowBatch) {
-        for row in batch.runs {
-            self.runs.retain(|(key, _)| *key != row.key);
-            if !row.value.is_empty() {
-                self.runs.push((row.key, row.value));
-            }
-        }
+        self.store_rows(batch.runs.into_iter());
         let time = self.time();
         if let Some(owner) = &mut self.owner {
             owner.set_time(time);
