Give no run up by a partial list of ends

Callers saw: of 600 tasks that ended while the store was down 100 were started again, though their ends were acknowledged.

Cause: an upstream lists 500 ends at a time, and a run in neither list counted as not there. With a list of 8, 8 tasks that end together ran once and 9 did not, which rules out that ends are dropped while they wait to be recorded.

An answer now says whether its list of ends may be partial; a partial one gives no run up.

--- a/src/work/owner/reconcile.rs
+++ b/src/work/owner/reconcile.rs
@@ -56,8 +56,12 @@
         self.upstreams[index].slowdown.add_sample(own, &siblings);
     }
 
-    /// Gives up runs that the upstream should have but lists neither as running nor as ended.
+    /// Gives up runs that the upstream should have but lists neither as running nor as ended. A
+    /// partial list proves nothing; the rest of it follows once its ends are acknowledged.
     pub(super) fn reconcile_missing(&mut self, name: &ObjectName, reply: &RenewReply) {
+        if reply.ended_is_partial {
+            return;
+        }
         let Some(index) = self.upstream_index(name) else {
             return;
         };
--- a/src/work/upstream.rs
+++ b/src/work/upstream.rs
@@ -179,6 +179,8 @@
     pub clock_ms: u64,
     /// Active runs.
     pub running: Vec<RunningTask>,
-    /// Ended runs that have not been acknowledged.
+    /// Ended runs that have not been acknowledged, or the first of them.
     pub ended: Vec<EndedTask>,
+    /// Whether `ended` may lack some: a run in neither list may have ended.
+    pub ended_is_partial: bool,
 }
--- a/tests/pool_owner.rs
+++ b/tests/pool_owner.rs
@@ -122,6 +122,61 @@
     assert_no_violations(&pool);
 }
 
+/// Cases of `ends_beyond_the_listed_ones_are_waited_for`.
+struct PiledEndsCase {
+    name: &'static str,
+    tasks: u32,
+    /// Number of ends that an upstream lists at most.
+    listed_ends_max: usize,
+    /// Time that recording takes while the tasks end, in ms.
+    batch_delay_ms: u64,
+    /// Whether a new owner takes over after the tasks have ended.
+    new_owner: bool,
+}
+
+/// Guards against duplicate runs (`review/3`): ends piled up while the store was down, an answer
+/// listed only the first of them, and the runs that it did not list were given up as not there.
+#[test]
+fn ends_beyond_the_listed_ones_are_waited_for() {
+    let case = |name, tasks, listed_ends_max, batch_delay_ms, new_owner| PiledEndsCase {
+        name,
+        tasks,
+        listed_ends_max,
+        batch_delay_ms,
+        new_owner,
+    };
+    let cases = [
+        case("as many as are listed", 8, 8, 3_000, false),
+        case("one more", 9, 8, 3_000, false),
+        case("many more", 60, 8, 3_000, false),
+        case("many more, short outage", 60, 8, 300, false),
+        case("many more, new owner", 60, 8, 3_000, true),
+    ];
+    for case in cases {
+        let mut pool = pool(SEED, 1);
+        pool.listed_ends_max = case.listed_ends_max;
+        let mut many = step(case.tasks, 3_000, 0, false);
+        many.need.cpu_milli = 100;
+        many.need.memory_mb = 100;
+        pool.submit("a", "plain", vec![many]);
+        pool.run_for(2_500);
+        pool.batch_delay_ms = case.batch_delay_ms;
+        pool.run_for(1_000);
+        if case.new_owner {
+            pool.take_over();
+        }
+        pool.run_for(4_000);
+        pool.batch_delay_ms = 20;
+        pool.run_for(8_000);
+        assert_eq!(pool.phase("a"), JobPhase::Completed, "{}", case.name);
+        for task in 0..case.tasks {
+            let starts = pool.starts(&format!("a.0.0.{task}"));
+            assert_eq!(starts, 1, "{}: task {task}", case.name);
+        }
+        assert_no_violations(&pool);
+    }
+}
+
 /// Cases of `leases_of_upstream_that_refuses_connections_are_waited_for`.
 struct CutCase {
     name: &'static str,
@@ -755,6 +810,48 @@
     }
 }
 
+/// As `random_faults_cause_no_duplicate_run_and_no_lost_job`, with upstreams that list two ends at
+/// most.
+#[test]
+fn short_lists_of_ends_cause_no_duplicate_run_and_no_lost_job() {
+    for seed in SEEDS {
+        let mut random = ChaCha8Rng::seed_from_u64(17_000 + seed);
+        let mut pool = pool(seed, 6);
+        pool.listed_ends_max = 2;
+        pool.fault_rates = FaultRates {
+            response_lost: 60,
+            order_delayed: 500,
+        };
+        for index in 0..30 {
+            let tasks = random.random_range(1..8);
+            let run_ms = random.random_range(200..3_000);
+            let gang = random.random_bool(0.3);
+            pool.submit(
+                &format!("j{index}"),
+                "plain",
+                vec![step(tasks, run_ms, 1, gang)],
+            );
+            inject_fault(&mut pool, &mut random);
+            pool.run_for(random.random_range(50..900));
+        }
+        pool.fault_rates = FaultRates::default();
+        pool.batch_delay_ms = 20;
+        if pool.owner.is_none() {
+            pool.take_over();
+        }
+        let mut left = 120;
+        while !pool.all_over() && left > 0 {
+            pool.run_for(1_000);
+            left -= 1;
+        }
+        if let Some(violation) = pool.violations.first() {
+            let task = violation.split(' ').next().expect("a task");
+            panic!("seed {seed}: {violation}: {:#?}", pool.trace_of(task));
+        }
+        assert!(pool.all_over(), "seed {seed}: a job has not ended");
+    }
+}
+
 /// Owners die between the rows of a change. Jobs have gangs and steps that span rows. No task may
 /// run twice, and all jobs must end.
 #[test]
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -164,6 +164,8 @@
     pub batch_delay_ms: u64,
     /// Time that stopping a run takes, in ms.
     pub stop_ms: u64,
+    /// Number of ends that an upstream lists at most.
+    pub listed_ends_max: usize,
     /// Jobs whose tasks crash the upstreams that run them.
     pub crashing_jobs: Vec<ObjectName>,
     pub crash_course: CrashCourse,
@@ -226,6 +228,7 @@
             owner: None,
             batch_delay_ms: 20,
             stop_ms: STOP_MS,
+            listed_ends_max: 500,
             crashing_jobs: Vec::new(),
             crash_course: CrashCourse {
                 after_ms: 0,
@@ -773,11 +776,13 @@
             .extract_if(.., |end| end.number <= order.recorded_up_to)
             .collect();
         let discarded_up_to = upstream.discarded_up_to;
+        let listed = upstream.ended.iter().take(self.listed_ends_max);
         let reply = RenewReply {
             incarnation: upstream.incarnation,
             clock_ms: upstream.clock_ms,
             running: upstream.runs.iter().map(running_row).collect(),
-            ended: upstream.ended.clone(),
+            ended: listed.cloned().collect(),
+            ended_is_partial: upstream.ended.len() >= self.listed_ends_max,
         };
         let is_recorded_end =
             |end: &&EndedTask| end.kind == EndKind::Done && end.number > discarded_up_to;
