Read all pages of the operators' records, and the jobs stream to its end

A check of the configuration read the first page only: without the configuration on it, the old one counted as confirmed. A refresh of the jobs stream ended at an answer without records, though the stream's end was further: a job not read yet would be said to be unknown.

Tests that failed first: the_configuration_is_read_from_any_page and an_answer_that_lacks_records_is_not_the_end_of_the_jobs.

--- a/src/work/host_context.rs
+++ b/src/work/host_context.rs
@@ -11,6 +11,7 @@
 use crate::tables::name::ObjectName;
 use crate::work::active_config::ActiveConfig;
 use crate::work::clock::HostTime;
+use crate::work::follow::list_newest;
 use crate::work::group_commit::GroupCommitQueue;
 use crate::work::jobs_view::{JobsView, ViewChange};
 use crate::work::owner::{OwnerTiming, PoolOwner};
@@ -243,7 +244,10 @@
             let reply = self.call_store(&call).await?;
             self.apply_jobs(&reply.records);
             let Some(last) = reply.records.last() else {
-                return Ok(());
+                return match self.next_jobs_offset.get() >= reply.end {
+                    true => Ok(()),
+                    false => Err(StoreFailure::NotDone("an answer lacks records".to_owned())),
+                };
             };
             self.next_jobs_offset
                 .set(self.next_jobs_offset.get().max(last.offset + 1));
@@ -263,12 +267,13 @@
         R: RecordReader,
     {
         let asked_ms = steady_ms();
-        let call = StoreCall::Newest {
-            stream: StreamName::Config,
-            after: None,
-        };
-        let reply = self.call_store(&call).await?;
-        self.apply_configs(&reply.records);
+        let mut records = Vec::new();
+        // The record may be on any page.
+        list_newest(&self.store, StreamName::Config, |page| {
+            records.extend_from_slice(page);
+        })
+        .await?;
+        self.apply_configs(&records);
         self.active_config.mark_confirmed(asked_ms);
         Ok(())
     }
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -4,11 +4,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hemlockramp::tables::name::ObjectName;
+use hemlockramp::work::config::WorkConfig;
 use hemlockramp::work::follow::{FollowReply, StreamFollower, StreamSink};
-use hemlockramp::work::ports::StorePort;
+use hemlockramp::work::host_context::{HostContext, HostIdentity};
+use hemlockramp::work::owner::OwnerTiming;
+use hemlockramp::work::peers::PeerSet;
+use hemlockramp::work::ports::{RecordReader, StorePort};
+use hemlockramp::work::store_limits::StoreLimits;
 use hemlockramp::work::stream::{
     KeyedValue, StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord,
 };
+use hemlockramp::work::upstream::UpstreamReport;
 
 /// A store whose answers to reads hold a limited number of records.
 #[derive(Clone)]
@@ -127,3 +134,135 @@
         assert_eq!(*ends.borrow(), case.ends, "{}", case.name);
     }
 }
+
+/// A store that lists one record a page, and answers reads with no record though its end is further.
+#[derive(Clone)]
+struct PagedStore {
+    /// Keys of the listing, in order.
+    keys: &'static [&'static str],
+    end: u64,
+}
+
+impl StorePort for PagedStore {
+    async fn call(&self, call: &StoreCall, _limit: Duration) -> Result<StoreReply, StoreFailure> {
+        let StoreCall::Newest { after, .. } = call else {
+            return Ok(StoreReply {
+                end: self.end,
+                ..StoreReply::default()
+            });
+        };
+        let is_later = |key: &&&str| after.as_ref().is_none_or(|after| **key > after.as_str());
+        let mut later = self.keys.iter().filter(is_later);
+        let first = later.next().map(|key| StreamRecord {
+            offset: 0,
+            entry: KeyedValue {
+                key: (*key).to_owned(),
+                value: vec![1],
+            },
+        });
+        Ok(StoreReply {
+            records: first.into_iter().collect(),
+            more: later.next().is_some(),
+            ..StoreReply::default()
+        })
+    }
+}
+
+/// Reads each record with the key `config` as version 7.
+#[derive(Clone)]
+struct KeyReader;
+
+impl RecordReader for KeyReader {
+    fn config(&self, entry: &KeyedValue) -> Option<WorkConfig> {
+        (entry.key == "config").then(|| WorkConfig {
+            version: 7,
+            routes: Vec::new(),
+            teams: Vec::new(),
+            pools: Vec::new(),
+            body_max_bytes: 0,
+        })
+    }
+
+    fn upstream(&self, _entry: &KeyedValue) -> Option<UpstreamReport> {
+        None
+    }
+}
+
+fn host_context(store: PagedStore) -> HostContext<PagedStore, (), KeyReader> {
+    let identity = HostIdentity {
+        name: ObjectName::try_from("host").expect("a valid name"),
+        rank: 0.0,
+        large: true,
+        timing: OwnerTiming {
+            lease_ms: 5_400,
+            lease_max_ms: 6_000,
+            ownership_timeout_ms: 8_000,
+            far_factor: 3,
+            reclaim_ms: 3_400,
+            stop_ms: 900,
+            checkpoint_max_bytes: 1_000,
+        },
+        limits: StoreLimits {
+            record_bytes: 262_144,
+            request_bytes: 2_097_152,
+        },
+    };
+    HostContext::new(identity, store, (), KeyReader, Rc::new(PeerSet::default()))
+}
+
+/// Keys of a listing, one a page.
+struct PageCase {
+    name: &'static str,
+    keys: &'static [&'static str],
+}
+
+/// Guards against a page that is taken for the whole list: a configuration beyond the first page was
+/// not read, and the older one in force counted as confirmed.
+#[test]
+fn the_configuration_is_read_from_any_page() {
+    let cases = [
+        PageCase {
+            name: "first page",
+            keys: &["config", "wave/1"],
+        },
+        PageCase {
+            name: "second page",
+            keys: &["a", "config", "wave/1"],
+        },
+        PageCase {
+            name: "last page",
+            keys: &["a", "b", "config"],
+        },
+    ];
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("build the runtime");
+    for case in cases {
+        let context = host_context(PagedStore {
+            keys: case.keys,
+            end: 0,
+        });
+        runtime
+            .block_on(context.refresh_config())
+            .expect("the store answers");
+        let version = context.active_config.current().map(|config| config.version);
+        assert_eq!(version, Some(7), "{}", case.name);
+    }
+}
+
+/// Guards against an answer without records that is taken for the end of the stream: a job that the
+/// host has not read yet would be said to be unknown.
+#[test]
+fn an_answer_that_lacks_records_is_not_the_end_of_the_jobs() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("build the runtime");
+    for (end, complete) in [(0, true), (3, false)] {
+        let context = host_context(PagedStore { keys: &[], end });
+        context.jobs_listed.set(true);
+        let result = runtime.block_on(context.refresh_jobs());
+        assert_eq!(result.is_ok(), complete, "end {end}");
+    }
+}
