--- a/src/work/owner_loop/mod.rs
+++ b/src/work/owner_loop/mod.rs
@@ -5,6 +5,8 @@
 //! confirmed within the ownership timeout. It releases the pool when its host shuts down or a
 //! large host can replace a small one.
 
+mod job_rows;
+mod jobs_item;
 mod report_sink;
 mod writer;
 
@@ -20,8 +22,10 @@
 use crate::work::host_context::{HostContext, host_time, steady_ms};
 use crate::work::owner::{PoolOwner, RowBatch, UpstreamOrder};
 use crate::work::owner_election::should_step_down;
+use crate::work::owner_loop::job_rows::JobRows;
+use crate::work::owner_loop::jobs_item::JobsItem;
 use crate::work::owner_loop::report_sink::ReportSink;
-use crate::work::owner_loop::writer::{AppendItem, ItemOutcome, OwnerWriter};
+use crate::work::owner_loop::writer::{ItemOutcome, OwnerWriter};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 use crate::work::record::WorkRecord;
 use crate::work::stream::{KeyedValue, StoreFailure, StreamName, StreamRecord};
@@ -71,20 +75,6 @@
     )
 }
 
-/// Records queued for the jobs stream, and the keys of finished jobs' rows in the runs stream, which
-/// may be dropped once these are stored.
-#[derive(Debug, Default)]
-struct JobRows {
-    rows: Vec<KeyedValue>,
-    finished: Vec<String>,
-}
-
-impl JobRows {
-    fn is_empty(&self) -> bool {
-        self.rows.is_empty() && self.finished.is_empty()
-    }
-}
-
 /// The loop that one host runs during one term as owner. Clones share its state.
 struct OwnerLoop<S, O, R> {
     context: Rc<HostContext<S, O, R>>,
@@ -101,33 +91,6 @@
     job_wake: Rc<Notify>,
 }
 
-/// A record for the jobs stream.
-#[derive(Debug)]
-enum JobsItem {
-    /// The owner's own record.
-    Own(KeyedValue),
-    /// A record that a caller or another host waits for.
-    Pending(PendingRecord),
-}
-
-impl JobsItem {
-    /// Ends the wait for a pending record that is not stored.
-    fn fail(self, failure: StoreFailure) {
-        if let Self::Pending(pending) = self {
-            pending.close(Err(failure));
-        }
-    }
-}
-
-impl AppendItem for JobsItem {
-    fn entry(&self) -> &KeyedValue {
-        match self {
-            Self::Own(entry) => entry,
-            Self::Pending(pending) => &pending.entry,
-        }
-    }
-}
-
 impl<S, O, R> Clone for OwnerLoop<S, O, R> {
     fn clone(&self) -> Self {
         Self {
--- a/src/work/peers.rs
+++ b/src/work/peers.rs
@@ -8,6 +8,7 @@
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 use tokio_tungstenite::accept_async;
 use tokio_tungstenite::tungstenite::Message;
 
@@ -32,6 +33,9 @@
 const LINK_TIMEOUT_MS: u64 = 10_000;
 /// Delay after a failed accept.
 const ACCEPT_PAUSE_MS: u64 = 100;
+/// Silence of a peer after which the server's side of its link is closed. Peers are pinged every
+/// 500 ms, so a link that is silent for longer is broken even if it is never reset.
+const PEER_SILENCE_MAX_MS: u64 = 5_000;
 /// Maximum number of replies that wait to be sent on one connection.
 const REPLIES_MAX: usize = 64;
 
@@ -235,7 +239,8 @@
 async fn serve_peer(stream: TcpStream, service: Rc<impl PeerService>) {
     // Without `TCP_NODELAY` replies are only delayed, so a failure to set it is ignored.
     let _ = stream.set_nodelay(true);
-    let Ok(socket) = accept_async(stream).await else {
+    let silence_max = Duration::from_millis(PEER_SILENCE_MAX_MS);
+    let Ok(Ok(socket)) = timeout(silence_max, accept_async(stream)).await else {
         return;
     };
     let (mut sink, mut source) = socket.split();
@@ -247,7 +252,7 @@
             }
         }
     });
-    while let Some(Ok(message)) = source.next().await {
+    while let Ok(Some(Ok(message))) = timeout(silence_max, source.next()).await {
         // Answered explicitly: the split socket's write half does not flush automatic pongs.
         if let Message::Ping(payload) = &message {
             if replies.send(Message::Pong(payload.clone())).await.is_err() {
