Never give up lasting tasks, and restart those that crash upstreams ever more rarely

Callers saw: a lasting job was failed after three crashes of its upstreams, 30 s apart, though no run of it had ended failed.

Cause: the limit on crashes made no difference between tasks that last and others, and its counts never went down.

A lasting task is never given up now. Its history is dropped once a run has been at work for 10 s; from the fourth lost run in a row on it waits before the next one, up to 60 s, and it still runs alone on its upstreams.

Tests that failed first: lasting_work_is_never_given_up and lasting_work_that_crashes_its_upstreams_is_restarted_alone_and_rarely.

--- a/src/work/crash_history.rs
+++ b/src/work/crash_history.rs
@@ -16,6 +16,13 @@
 const LOST_RUNS_MAX: u32 = 5;
 /// Lost runs from which on a unit runs alone.
 const ISOLATED_LOST_RUNS: u32 = 2;
+/// Lost runs up to which a lasting task is started again at once. It is never given up, but restarts
+/// of one that crashes upstream after upstream become rare.
+const PROMPT_RESTARTS: u32 = 3;
+/// Pause before the next restart, doubled with each further lost run, in ms.
+const RESTART_PAUSE_MS: u64 = 1_000;
+/// Longest pause before a restart, in ms.
+const RESTART_PAUSE_MAX_MS: u64 = 60_000;
 /// Longest time that a unit waits for upstreams of its own, in ms.
 const ISOLATION_WAIT_MAX_MS: u64 = 2_000;
 
@@ -44,7 +51,32 @@
                 index
             }
         };
-        self.rows[index].open.push(loss);
+        let row = &mut self.rows[index];
+        row.open.push(loss);
+        // The history of a lasting task has no end, so its oldest losses are only counted.
+        if row.open.len() > LOST_RUNS_MAX as usize {
+            row.open.remove(0);
+            row.unproved += 1;
+        }
+    }
+
+    /// Drops the losses of a member that has been at work for long. Returns whether there were any.
+    pub fn forget(&mut self, member: u32) -> bool {
+        let found = self.rows.binary_search_by_key(&member, |row| row.member);
+        found.map(|index| self.rows.remove(index)).is_ok()
+    }
+
+    /// Returns how long a lasting task waits before its next run, in ms.
+    pub fn restart_pause_ms(&self) -> u64 {
+        let lost_runs = self.rows.iter().map(CrashRecord::lost_runs).max();
+        let further = lost_runs.unwrap_or(0).saturating_sub(PROMPT_RESTARTS);
+        match further.checked_sub(1) {
+            Some(doublings) => {
+                let pause_ms = RESTART_PAUSE_MS.saturating_mul(1 << doublings.min(16));
+                pause_ms.min(RESTART_PAUSE_MAX_MS)
+            }
+            None => 0,
+        }
     }
 
     /// Counts the open losses that a later life of their upstream proves to be crashes. Returns
--- a/src/work/owner/crashes.rs
+++ b/src/work/owner/crashes.rs
@@ -3,10 +3,13 @@
 use crate::tables::name::ObjectName;
 use crate::work::crash_record::{LossRecord, UpstreamLife};
 use crate::work::owner::PoolOwner;
-use crate::work::owner::job_state::MemberPhase;
+use crate::work::owner::job_state::{MemberPhase, UnitPhase};
 use crate::work::owner::upstream_state::UpstreamState;
 use crate::work::record::JobPhase;
 
+/// Run time after which a lasting task counts as one that does not crash its upstreams, in ms.
+const STEADY_RUN_MS: u64 = 10_000;
+
 impl PoolOwner {
     /// Notes that a member's run was lost with its upstream. A start that has not been sent, an
     /// upstream that answers and does not know the run, and one that had announced its shutdown do
@@ -107,6 +110,28 @@
         }
     }
 
+    /// Returns whether a lasting unit waits on before its next run, since it crashed its upstreams.
+    pub(super) fn restart_is_paused(&self, job: usize, unit: usize) -> bool {
+        let state = &self.jobs[job];
+        let unit_state = &state.units[unit];
+        let waited_ms = self.now.steady_ms.saturating_sub(unit_state.since_ms);
+        state.step(unit).lasting && waited_ms < unit_state.crashes.restart_pause_ms()
+    }
+
+    /// Drops the crash history of a lasting task that is at work for long enough to show that it did
+    /// not cause the crashes.
+    pub(super) fn forget_old_crashes(&mut self, job: usize, unit: usize, member: usize) {
+        let state = &mut self.jobs[job];
+        let at_work_ms = self
+            .now
+            .steady_ms
+            .saturating_sub(state.units[unit].since_ms);
+        let steady = state.units[unit].phase == UnitPhase::Active && at_work_ms >= STEADY_RUN_MS;
+        if steady && state.step(unit).lasting && state.units[unit].crashes.forget(member as u32) {
+            state.rows.mark_member(unit, member);
+        }
+    }
+
     fn is_listed(&self, life: &UpstreamLife) -> bool {
         let upstream = self.upstream_index(&life.upstream);
         upstream.is_some_and(|index| {
@@ -115,13 +140,12 @@
         })
     }
 
-    /// Ends a job one of whose tasks crashes its upstreams.
+    /// Ends a job one of whose tasks crashes its upstreams. Lasting tasks are restarted however they
+    /// end.
     pub(super) fn give_up_crashing(&mut self, job: usize) {
         let state = &self.jobs[job];
-        let exhausted = state
-            .units
-            .iter()
-            .position(|unit| unit.crashes.is_exhausted());
+        let exhausted = (0..state.units.len())
+            .find(|&unit| state.units[unit].crashes.is_exhausted() && !state.step(unit).lasting);
         let Some(unit) = exhausted.filter(|_| !state.phase.is_over()) else {
             return;
         };
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -76,7 +76,8 @@
     fn waiting_steps(&self, teams: &[TeamUsage]) -> Vec<WaitingStep> {
         let mut found: Vec<WaitingStep> = Vec::new();
         for job in 0..self.jobs.len() {
-            let ready = self.jobs[job].ready_units(self.now.wall_ms);
+            let mut ready = self.jobs[job].ready_units(self.now.wall_ms);
+            ready.retain(|&unit| !self.restart_is_paused(job, unit));
             let same_step = |left: &usize, right: &usize| {
                 let shapes = &self.jobs[job].shapes;
                 (shapes[*left].round, shapes[*left].step)
--- a/src/work/owner/reconcile.rs
+++ b/src/work/owner/reconcile.rs
@@ -33,6 +33,7 @@
                 state.phase = MemberPhase::Running;
                 self.set_phase(job, JobPhase::Running);
             }
+            self.forget_old_crashes(job, unit, member);
             // The run began under an earlier owner, which alone knows its start time.
             if !start_time_unknown {
                 self.sample_slowdown(name, job, unit);
--- a/tests/pool_owner.rs
+++ b/tests/pool_owner.rs
@@ -8,12 +8,14 @@
 use hemlockramp::work::upstream::EndKind;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use support::pool_sim::{CrashCourse, FaultRates, PoolSim, STOP_MS, step};
+use support::pool_sim::{CrashCourse, FaultRates, PoolSim, STOP_MS, lasting_step, step};
 
 const SEED: u64 = 7;
 /// Starts of a task that crashes its upstreams: three, and fewer than three more after these have
 /// crashed, which is the platform's bound.
 const CRASHING_STARTS_MAX: u32 = 5;
+/// Time after its last run within which a lasting task runs again, in ms: the platform's bound.
+const LASTING_AWAY_MAX_MS: u64 = 9_000;
 /// Seeds of the fault-injection test.
 const SEEDS: std::ops::Range<u64> = 0..200;
 
@@ -531,6 +533,95 @@
     assert_no_violations(&pool);
 }
 
+/// Cases of `lasting_work_is_never_given_up`.
+struct LastingCrashCase {
+    name: &'static str,
+    crashes: u32,
+    /// Time that the task is at work before each crash, in ms.
+    at_work_ms: u64,
+    /// Whether a new owner takes over after each crash.
+    new_owners: bool,
+}
+
+/// Guards against lost jobs (`review/4`): three crashes of its upstreams, however far apart, ended a
+/// lasting job as failed, though lasting tasks are restarted however they end.
+#[test]
+fn lasting_work_is_never_given_up() {
+    let case = |name, crashes, at_work_ms, new_owners| LastingCrashCase {
+        name,
+        crashes,
+        at_work_ms,
+        new_owners,
+    };
+    let cases = [
+        case("far apart", 4, 30_000, false),
+        case("far apart, new owners", 4, 30_000, true),
+        case("close together", 6, 1_000, false),
+        case("close together, new owners", 6, 1_000, true),
+    ];
+    for case in cases {
+        let mut pool = pool(SEED, 7);
+        pool.submit("a", "plain", vec![lasting_step(4, 1)]);
+        pool.run_for(1_000);
+        for crash in 0..case.crashes {
+            pool.run_for(case.at_work_ms);
+            let upstream = pool.running("a.0.0.0").expect("the task runs");
+            let index = pool.upstreams.iter().position(|one| one.name == upstream);
+            pool.crash(index.expect("an upstream"), true);
+            if case.new_owners {
+                pool.take_over();
+            }
+            let crashed_ms = pool.now_ms;
+            while pool.running("a.0.0.0").is_none() {
+                pool.step();
+                let away_ms = pool.now_ms - crashed_ms;
+                let what = format!("{}: crash {crash}", case.name);
+                assert!(
+                    away_ms <= LASTING_AWAY_MAX_MS,
+                    "{what}: away for {away_ms} ms"
+                );
+                assert!(!pool.phase("a").is_over(), "{what}: {:?}", pool.phase("a"));
+            }
+        }
+        pool.run_for(1_000);
+        assert_eq!(pool.phase("a"), JobPhase::Running, "{}", case.name);
+        assert_no_violations(&pool);
+    }
+}
+
+/// A lasting task that crashes whatever runs it takes one upstream at a time, ever more rarely, and
+/// no other work with it.
+#[test]
+fn lasting_work_that_crashes_its_upstreams_is_restarted_alone_and_rarely() {
+    let mut pool = pool(SEED, 12);
+    pool.crash_course = CrashCourse {
+        after_ms: 10,
+        back_after_ms: 3_300,
+        renamed: true,
+    };
+    pool.crashing_jobs
+        .push("crasher".try_into().expect("a valid name"));
+    for index in 0..6 {
+        let id = format!("other{index}");
+        pool.submit(&id, "plain", vec![step(2, 3_000, 1, false)]);
+    }
+    pool.submit("crasher", "plain", vec![lasting_step(1, 1)]);
+    pool.run_for(60_000);
+    let first = pool.starts("crasher.0.0.0");
+    pool.run_for(60_000);
+    let second = pool.starts("crasher.0.0.0") - first;
+    assert!(second >= 1, "restarted however it ends");
+    assert!(
+        second < first,
+        "{first} starts in the first minute, {second} in the second"
+    );
+    assert_eq!(pool.phase("crasher"), JobPhase::Running);
+    for index in 0..6 {
+        assert_eq!(pool.phase(&format!("other{index}")), JobPhase::Completed);
+    }
+    assert_no_violations(&pool);
+}
+
 /// Guards against work that is given up although no upstream crashed: a run that an answering upstream
 /// does not know counted as lost with it.
 #[test]
