Bring lasting tasks back to a full pool

Callers saw: lasting tasks that lost their upstream did not run again while less urgent work filled the pool.

Cause: the objective of a waiting unit counted from its job's acceptance, so that a lasting unit was expired for good: behind all other work, without reservation or preemption.

A waiting lasting unit is never late now. One that was at work before waits at the rank of priority 0 outside guarantees.

Test that failed first: lasting_work_comes_back_to_a_full_pool (three pairs of queues).

--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -97,6 +97,9 @@
     }
 
     fn waiting_unit(&self, job: usize, unit: usize, teams: &[TeamUsage]) -> WaitingUnit {
+        if self.jobs[job].step(unit).lasting {
+            return self.waiting_lasting_unit(job, unit, teams);
+        }
         let state = &self.jobs[job];
         let rule = self.rule(job);
         let spec = &state.record.spec;
@@ -118,6 +121,26 @@
         }
     }
 
+    /// Returns the properties of a waiting lasting unit. Its tasks are awaited for as long as their job
+    /// lasts, so that it never counts as late. One that was at work before is missed by its users, and
+    /// comes back before all work but that inside a guarantee.
+    fn waiting_lasting_unit(&self, job: usize, unit: usize, teams: &[TeamUsage]) -> WaitingUnit {
+        let state = &self.jobs[job];
+        let priority = self.rule(job).priority;
+        let was_at_work = state.units[unit].run > 0;
+        WaitingUnit {
+            priority: match was_at_work {
+                true => 0,
+                false => priority,
+            },
+            guaranteed: priority == 0 && self.is_guaranteed(job, teams),
+            slack_ms: 0,
+            expired: false,
+            work: state.record.spec.work(),
+            job_started: was_at_work,
+        }
+    }
+
     fn placement_pool(&self, pool: &ObjectName) -> PlacementPool {
         let now_ms = self.now.steady_ms;
         let mut result = PlacementPool {
@@ -218,9 +241,8 @@
 
     fn place_step(&mut self, waiting_step: &WaitingStep, round: &mut PlacementRound) {
         let job = waiting_step.job;
-        let rule = self.rule(job);
-        let priority = rule.priority;
-        let name = rule.pool.clone();
+        let priority = waiting_step.waiting.priority;
+        let name = self.rule(job).pool.clone();
         let index = match round.pools.iter().position(|pool| pool.name == name) {
             Some(index) => index,
             None => {
--- a/tests/pool_owner.rs
+++ b/tests/pool_owner.rs
@@ -622,6 +622,37 @@
     assert_no_violations(&pool);
 }
 
+/// Guards against lost work (`review/5`): lasting tasks counted as expired soon after their job was
+/// accepted, and did not come back after a crash while less urgent work filled the pool.
+#[test]
+fn lasting_work_comes_back_to_a_full_pool() {
+    for (queue, other_queue) in [("plain", "batch"), ("plain", "plain"), ("batch", "plain")] {
+        let mut pool = pool(SEED, 3);
+        pool.submit("a", queue, vec![lasting_step(4, 1)]);
+        pool.run_for(1_000);
+        let mut away_since_ms = None;
+        for round in 0..80 {
+            let id = format!("b{round}");
+            pool.submit(&id, other_queue, vec![step(12, 6_100, 1, false)]);
+            pool.run_for(500);
+            if round == 20 {
+                let upstream = pool.running("a.0.0.0").expect("the task runs");
+                let index = pool.upstreams.iter().position(|one| one.name == upstream);
+                pool.crash(index.expect("an upstream"), true);
+                away_since_ms = Some(pool.now_ms);
+            }
+            let is_back = pool.running("a.0.0.0").is_some();
+            let away_ms = away_since_ms.map_or(0, |since| pool.now_ms - since);
+            let what = format!("{queue} beside {other_queue}");
+            assert!(
+                is_back || away_ms <= LASTING_AWAY_MAX_MS,
+                "{what}: away for {away_ms} ms"
+            );
+        }
+        assert_no_violations(&pool);
+    }
+}
+
 /// Guards against work that is given up although no upstream crashed: a run that an answering upstream
 /// does not know counted as lost with it.
 #[test]
