Store the cancellation of a job that is not known yet

Callers saw: a submission was answered 504 while answers of the store were lost; its caller withdrew the job, was told 410, and the job ran when its late record was stored.

Cause: the cancellation of an unknown job wrote nothing. It is stored now, once, before the answer 410, so that a record that comes later is cancelled from the start.

Test that failed first: a_job_that_was_withdrawn_before_it_was_stored_never_runs.

--- a/src/work/job_service.rs
+++ b/src/work/job_service.rs
@@ -145,13 +145,36 @@
 
     /// Cancels a job. Succeeds without effect if the job is over.
     ///
+    /// The cancellation of a job that is not known is stored as well: a submission that got no answer
+    /// may still be on its way to the store, and must not take effect afterwards.
+    ///
     /// # Errors
     ///
     /// As for `status`; `Unsure` if the cancellation may or may not have been stored.
     pub async fn cancel(&self, call: &AdmittedCall, id: &ObjectName) -> Result<(), CallRefusal> {
-        if self.status(id).await?.is_over() {
-            return Ok(());
+        match self.status(id).await {
+            Ok(phase) if phase.is_over() => Ok(()),
+            Ok(_) => self.store_cancellation(call, id).await,
+            Err(CallRefusal::UnknownJob) => {
+                if !self.is_cancelled(id) {
+                    self.store_cancellation(call, id).await?;
+                }
+                Err(CallRefusal::UnknownJob)
+            }
+            Err(refusal) => Err(refusal),
         }
+    }
+
+    fn is_cancelled(&self, id: &ObjectName) -> bool {
+        let jobs_view = self.context.jobs_view.borrow();
+        jobs_view.job(id).is_some_and(|job| job.cancelled)
+    }
+
+    async fn store_cancellation(
+        &self,
+        call: &AdmittedCall,
+        id: &ObjectName,
+    ) -> Result<(), CallRefusal> {
         let entry = KeyedValue::from(&WorkRecord::Cancel(id.clone(), call.config_version));
         let result = self.store(entry, call.deadline_ms).await;
         log::info!(
