--- a/src/work/owner/task_rows.rs
+++ b/src/work/owner/task_rows.rs
@@ -62,7 +62,12 @@
     }
 
     fn mark_all(&mut self) {
-        self.changed = (0..self.tasks.div_ceil(TASKS_PER_ROW)).collect();
+        self.changed = (0..self.count()).collect();
+    }
+
+    /// Returns the number of rows.
+    fn count(&self) -> u32 {
+        self.tasks.div_ceil(TASKS_PER_ROW)
     }
 
     /// Returns the keys of the rows that may be stored.
@@ -116,8 +121,11 @@
             }
             None => {
                 for row in stored {
-                    let units = self.rows.units_of(row.number.unwrap_or_default());
-                    restore_units(&mut self.units[units], &row.record);
+                    let number = row.number.unwrap_or_default();
+                    if number < self.rows.count() {
+                        let units = self.rows.units_of(number);
+                        restore_units(&mut self.units[units], &row.record);
+                    }
                 }
             }
         }
--- a/tests/pool_owner.rs
+++ b/tests/pool_owner.rs
@@ -37,6 +37,25 @@
     pool
 }
 
+/// Runs until all jobs are over, for two minutes at most.
+fn run_to_the_end(pool: &mut PoolSim) {
+    for _ in 0..120 {
+        if pool.all_over() {
+            return;
+        }
+        pool.run_for(1_000);
+    }
+}
+
+/// Panics with the events of the task if an invariant was violated, or if a job is not over.
+fn assert_ended_without_violation(pool: &PoolSim, seed: u64) {
+    if let Some(violation) = pool.violations.first() {
+        let task = violation.split(' ').next().expect("a task");
+        panic!("seed {seed}: {violation}: {:#?}", pool.trace_of(task));
+    }
+    assert!(pool.all_over(), "seed {seed}: a job has not ended");
+}
+
 fn assert_no_violations(pool: &PoolSim) {
     assert!(pool.violations.is_empty(), "{:#?}", pool.violations);
 }
@@ -848,16 +867,8 @@
         if pool.owner.is_none() {
             pool.take_over();
         }
-        let mut left = 120;
-        while !pool.all_over() && left > 0 {
-            pool.run_for(1_000);
-            left -= 1;
-        }
-        if let Some(violation) = pool.violations.first() {
-            let task = violation.split(' ').next().expect("a task");
-            panic!("seed {seed}: {violation}: {:#?}", pool.trace_of(task));
-        }
-        assert!(pool.all_over(), "seed {seed}: a job has not ended");
+        run_to_the_end(&mut pool);
+        assert_ended_without_violation(&pool, seed);
     }
 }
 
@@ -890,11 +901,7 @@
             }
         }
         pool.run_for(40_000);
-        if let Some(violation) = pool.violations.first() {
-            let task = violation.split(' ').next().expect("a task");
-            panic!("seed {seed}: {violation}: {:#?}", pool.trace_of(task));
-        }
-        assert!(pool.all_over(), "seed {seed}: a job has not ended");
+        assert_ended_without_violation(&pool, seed);
     }
 }
 
@@ -919,16 +926,8 @@
             inject_cut(&mut pool, &mut random);
             pool.run_for(random.random_range(50..900));
         }
-        let mut left = 120;
-        while !pool.all_over() && left > 0 {
-            pool.run_for(1_000);
-            left -= 1;
-        }
-        if let Some(violation) = pool.violations.first() {
-            let task = violation.split(' ').next().expect("a task");
-            panic!("seed {seed}: {violation}: {:#?}", pool.trace_of(task));
-        }
-        assert!(pool.all_over(), "seed {seed}: a job has not ended");
+        run_to_the_end(&mut pool);
+        assert_ended_without_violation(&pool, seed);
     }
 }
 
@@ -961,16 +960,8 @@
         if pool.owner.is_none() {
             pool.take_over();
         }
-        let mut left = 120;
-        while !pool.all_over() && left > 0 {
-            pool.run_for(1_000);
-            left -= 1;
-        }
-        if let Some(violation) = pool.violations.first() {
-            let task = violation.split(' ').next().expect("a task");
-            panic!("seed {seed}: {violation}: {:#?}", pool.trace_of(task));
-        }
-        assert!(pool.all_over(), "seed {seed}: a job has not ended");
+        run_to_the_end(&mut pool);
+        assert_ended_without_violation(&pool, seed);
     }
 }
 
@@ -1003,11 +994,7 @@
             }
             left -= 1;
         }
-        if let Some(violation) = pool.violations.first() {
-            let task = violation.split(' ').next().expect("a task");
-            panic!("seed {seed}: {violation}: {:#?}", pool.trace_of(task));
-        }
-        assert!(pool.all_over(), "seed {seed}: a job has not ended");
+        assert_ended_without_violation(&pool, seed);
     }
 }
 
