Log by what proof a run is taken to be over, and what becomes of it

What operators saw: two runs of a task, and no line that tells why the first one was taken to be over. Each way to take a run off its upstream now writes a line that names the decision and its inputs: a lost run its proof (lease over, a later life, or an answer that does not list it, with the clocks and sizes that decided), a lease that is over the age of the upstream's last answer, a start that is dropped unsent, a refused start whether an earlier copy was unanswered, an end whether it was that of the current run, an orphaned run what runs in its place, and an upstream that moves to another address both lives. No decision is changed.

--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -7,6 +7,7 @@
 pub mod cancel;
 mod crashes;
 pub mod job_state;
+mod loss_proof;
 mod placement_pool;
 pub mod planning;
 mod preemption;
@@ -30,6 +31,7 @@
 use crate::work::clock::{ClockReading, HostTime, drift_safe_wait_ms};
 use crate::work::config::WorkConfig;
 use crate::work::owner::job_state::{JobState, MemberPhase, UnitPhase};
+use crate::work::owner::loss_proof::LossProof;
 use crate::work::owner::upstream_state::{LEASE_EXPIRY_MARGIN_MS, UpstreamState};
 use crate::work::record::JobPhase;
 use crate::work::stream::KeyedValue;
@@ -187,6 +189,13 @@
             || upstream.report.as_ref().is_none_or(|old| {
                 old.draining != report.draining || old.capacity != report.capacity
             });
+        if let Some(before) = upstream.address.filter(|before| *before != report.address) {
+            log::warn!(
+                upstream = name.as_str(), before:% = before, address:% = report.address,
+                born = incarnation, known_born = upstream.incarnation;
+                "owner: an upstream is listed at another address; orders go there."
+            );
+        }
         upstream.address = Some(report.address);
         upstream.listed = true;
         upstream.report = Some(report);
@@ -266,14 +275,14 @@
     }
 
     /// Handles a member that certainly no longer runs but reported no end.
-    fn member_lost(&mut self, job: usize, unit: usize, member: usize, reason: &str) {
+    fn member_lost(&mut self, job: usize, unit: usize, member: usize, proof: LossProof) {
         let task = self.jobs[job].task(unit, member);
         let run = self.jobs[job].units[unit].run;
         let state = &self.jobs[job].units[unit].members[member];
         let upstream = state.upstream.as_ref().map_or("", ObjectName::as_str);
         log::info!(
-            job = task.job.as_str(), task:% = task, run, reason, upstream,
-            born = state.incarnation, started = state.phase == MemberPhase::Running,
+            job = task.job.as_str(), task:% = task, run, reason = proof.reason(), proof:? = proof,
+            upstream, born = state.incarnation, started = state.phase == MemberPhase::Running,
             order_age_ms = self.now.steady_ms.saturating_sub(state.last_order_ms);
             "owner: a run is lost."
         );
--- a/src/work/owner/reconcile.rs
+++ b/src/work/owner/reconcile.rs
@@ -3,6 +3,7 @@
 use crate::tables::name::ObjectName;
 use crate::work::owner::PoolOwner;
 use crate::work::owner::job_state::{MemberPhase, UnitPhase};
+use crate::work::owner::loss_proof::LossProof;
 use crate::work::record::JobPhase;
 use crate::work::upstream::RenewReply;
 
@@ -77,7 +78,8 @@
             let stopping = unit.phase != UnitPhase::Active;
             let known = state.phase == MemberPhase::Running || stopping;
             let settled = known && !state.start_unconfirmed && !state.in_flight;
-            let newer = state.confirmed_ms != 0 && reply.clock_ms > state.confirmed_ms;
+            let confirmed_clock_ms = state.confirmed_ms;
+            let newer = confirmed_clock_ms != 0 && reply.clock_ms > confirmed_clock_ms;
             let gone = earlier_incarnation || (settled && newer);
             if !gone {
                 continue;
@@ -93,7 +95,16 @@
                 .iter()
                 .any(|one| one.run == run && one.task == task);
             if !listed && !ended {
-                self.member_lost(job, held.unit, held.member, "not there");
+                let proof = match earlier_incarnation {
+                    true => LossProof::LaterLife,
+                    false => LossProof::NotListed {
+                        answer_clock_ms: reply.clock_ms,
+                        confirmed_clock_ms,
+                        running: reply.running.len(),
+                        ended: reply.ended.len(),
+                    },
+                };
+                self.member_lost(job, held.unit, held.member, proof);
             }
         }
     }
--- a/src/work/owner/renewals.rs
+++ b/src/work/owner/renewals.rs
@@ -5,6 +5,7 @@
 //! own, possibly slower clock.
 
 use crate::work::owner::job_state::{MemberPhase, UnitPhase};
+use crate::work::owner::loss_proof::LossProof;
 use crate::work::owner::{PendingStart, PoolOwner, UpstreamOrder};
 use crate::work::upstream::{RenewOrder, StartOrder, StopOrder};
 
@@ -32,14 +33,17 @@
                 continue;
             }
             let name = upstream.name.clone();
-            let age_ms = now_ms - upstream.leases_expire_ms;
+            let since_ms = now_ms - upstream.leases_expire_ms;
             log::warn!(
-                upstream = name.as_str(), tasks = upstream.held.len(), lapsed_for_ms = age_ms;
+                upstream = name.as_str(), tasks = upstream.held.len(), lapsed_for_ms = since_ms,
+                answer_age_ms = now_ms.saturating_sub(upstream.answered_ms), term = self.term,
+                missed = upstream.missed_renewals, born = upstream.incarnation;
                 "owner: leases of a silent upstream are over."
             );
             for task in upstream.held.clone() {
                 if let Some(job) = self.job_index(&task.job) {
-                    self.member_lost(job, task.unit, task.member, "lease over");
+                    let proof = LossProof::LeaseOver { since_ms };
+                    self.member_lost(job, task.unit, task.member, proof);
                 }
             }
             // What is left belongs to jobs that no longer exist.
@@ -136,8 +140,7 @@
                 self.send_start(job, unit, member, false);
             }
             (UnitPhase::Stopping, MemberPhase::Planned) => {
-                // Its start order has not been sent.
-                self.clear_member(job, unit, member);
+                self.drop_unsent_start(job, unit, member);
                 self.requeue_unit(job, unit);
             }
             (UnitPhase::Stopping, _) if resend_due || state.last_order_ms == 0 => {
@@ -197,8 +200,7 @@
         let index = self.upstream_index(&order.target.upstream);
         let silent = index.is_some_and(|index| self.upstreams[index].missed_renewals > 0);
         if silent || self.jobs[job].units[unit].phase != UnitPhase::Active {
-            // The start order has not been sent.
-            self.clear_member(job, unit, member);
+            self.drop_unsent_start(job, unit, member);
             self.stop_unit(job, unit);
             return;
         }
@@ -211,6 +213,19 @@
         self.ready.push(UpstreamOrder::Start(order));
     }
 
+    /// Takes a member whose start order has not been sent off its upstream.
+    fn drop_unsent_start(&mut self, job: usize, unit: usize, member: usize) {
+        let task = self.jobs[job].task(unit, member);
+        let state = &self.jobs[job].units[unit];
+        let upstream = state.members[member].upstream.as_ref();
+        log::info!(
+            job = task.job.as_str(), task:% = task, run = state.run,
+            upstream = upstream.map_or("", |name| name.as_str()), phase:? = state.phase;
+            "owner: a start is dropped before it is sent."
+        );
+        self.clear_member(job, unit, member);
+    }
+
     fn send_stop(&mut self, job: usize, unit: usize, member: usize) {
         let now_ms = self.now.steady_ms;
         let state = &self.jobs[job].units[unit];
--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -54,7 +54,8 @@
             StartOutcome::Refused(refusal) => {
                 log::info!(
                     job = task.job.as_str(), task:% = task, run = order.run, upstream,
-                    refusal:? = refusal; "owner: a start was refused."
+                    refusal:? = refusal, unanswered_before = state.start_unconfirmed;
+                    "owner: a start was refused."
                 );
                 self.on_refused(job, unit, member, refusal);
             }
@@ -255,13 +256,16 @@
     }
 
     fn on_end(&mut self, name: &ObjectName, end: &EndedTask) {
+        let found = self.find_member((&end.task, end.run, name));
         log::info!(
             job = end.task.job.as_str(), task:% = end.task, run = end.run,
-            upstream = name.as_str(), how:? = end.kind; "owner: a run has ended."
+            upstream = name.as_str(), how:? = end.kind, number = end.number,
+            current = found.is_some(); "owner: a run has ended."
         );
         let how = end_label(end.kind);
         metrics::counter!("hemlockramp_runs_ended_total", "how" => how).increment(1);
-        let Some((job, unit, member)) = self.find_member((&end.task, end.run, name)) else {
+        let Some((job, unit, member)) = found else {
+            metrics::counter!("hemlockramp_stray_ends_total", "how" => how).increment(1);
             return;
         };
         let lasting = self.jobs[job].step(unit).lasting;
@@ -329,15 +333,29 @@
         self.stop_unit(job, unit);
     }
 
+    /// Returns the number of a task's newest run and the upstream that it is on, for the logs; 0 and
+    /// "" if there is none.
+    fn current_run(&self, task: &TaskRef) -> (u32, &str) {
+        let job = self.job_index(&task.job).map(|index| &self.jobs[index]);
+        let Some((job, (unit, member))) = job.and_then(|job| Some((job, job.locate(task)?))) else {
+            return (0, "");
+        };
+        let state = &job.units[unit];
+        let upstream = state.members[member].upstream.as_ref();
+        (state.run, upstream.map_or("", ObjectName::as_str))
+    }
+
     /// Stops a run that is not the current one of its task, such as one that started late.
     pub(super) fn stop_orphaned_run(&mut self, name: &ObjectName, running: &RunningTask) {
         let target = self
             .upstream_index(name)
             .and_then(|index| self.upstreams[index].target(self.term));
         if let Some(target) = target {
+            let (current_run, current_upstream) = self.current_run(&running.task);
             log::info!(
                 job = running.task.job.as_str(), task:% = running.task, run = running.run,
-                upstream = name.as_str(); "owner: an orphaned run is stopped."
+                upstream = name.as_str(), current_run, current_upstream;
+                "owner: an orphaned run is stopped."
             );
             self.ready.push(UpstreamOrder::Stop(StopOrder {
                 target,
