--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -61,7 +61,7 @@
 #[derive(Clone, Debug)]
 pub struct SimUpstream {
     pub name: ObjectName,
-    address: SocketAddr,
+    pub address: SocketAddr,
     rack: ObjectName,
     pub capacity: ResourceAmount,
     pub incarnation: u64,
@@ -120,6 +120,18 @@
     Renew(RenewOrder, Result<RenewReply, OrderFailure>),
 }
 
+/// An answer to a renewal of which one list has been read.
+struct HalfAnswer {
+    due_ms: u64,
+    lost: bool,
+    term: u64,
+    index: usize,
+    incarnation: u64,
+    order: RenewOrder,
+    running: Vec<RunningTask>,
+    ended: Vec<EndedTask>,
+}
+
 struct PendingResponse {
     due_ms: u64,
     term: u64,
@@ -135,6 +147,18 @@
     pub order_delayed: u32,
 }
 
+/// How upstreams list their runs in answers to renewals. The default is an upstream that reads its lists
+/// and its clock in one step.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Listing {
+    /// Time between reading one list and reading the other one and the clock, in ms.
+    pub gap_ms: u64,
+    /// Whether the list of ends is read first; otherwise that of running runs.
+    pub ended_first: bool,
+    /// Whether a run that is being stopped is listed only once it has ended.
+    pub hides_stopping: bool,
+}
+
 /// How upstreams fare under a task that crashes whatever runs it.
 #[derive(Clone, Copy, Debug)]
 pub struct CrashCourse {
@@ -166,6 +190,8 @@
     pub stop_ms: u64,
     /// Number of ends that an upstream lists at most.
     pub listed_ends_max: usize,
+    /// How upstreams answer renewals.
+    pub listing: Listing,
     /// Jobs whose tasks crash the upstreams that run them.
     pub crashing_jobs: Vec<ObjectName>,
     pub crash_course: CrashCourse,
@@ -179,6 +205,7 @@
     runs: Vec<(String, Vec<u8>)>,
     batch: Option<(u64, RowBatch)>,
     in_flight_orders: Vec<InFlightOrder>,
+    half_answers: Vec<HalfAnswer>,
     pending_responses: Vec<PendingResponse>,
     histories: Vec<TaskHistory>,
     /// Violated invariants; each text begins with the task's name.
@@ -229,6 +256,7 @@
             batch_delay_ms: 20,
             stop_ms: STOP_MS,
             listed_ends_max: 500,
+            listing: Listing::default(),
             crashing_jobs: Vec::new(),
             crash_course: CrashCourse {
                 after_ms: 0,
@@ -243,6 +271,7 @@
             runs: Vec::new(),
             batch: None,
             in_flight_orders: Vec::new(),
+            half_answers: Vec::new(),
             pending_responses: Vec::new(),
             histories: Vec::new(),
             violations: Vec::new(),
@@ -430,6 +459,7 @@
         self.crash_upstreams();
         self.advance_upstreams();
         self.execute_due_orders();
+        self.finish_half_answers();
         self.deliver_due_responses();
         self.send_reports();
         self.drive_owner();
@@ -619,10 +649,13 @@
                     let result = self.stop(index, &order);
                     OrderResponse::Stop(order, result)
                 }
-                UpstreamOrder::Renew(order) => {
-                    let result = self.renew(index, &order);
-                    OrderResponse::Renew(order, result)
-                }
+                UpstreamOrder::Renew(order) => match self.renew(index, &order) {
+                    Err(failure) => OrderResponse::Renew(order, Err(failure)),
+                    Ok(()) => {
+                        self.begin_answer(index, order, in_flight.lost, in_flight.term);
+                        continue;
+                    }
+                },
             };
             if !in_flight.lost {
                 self.pending_responses.push(PendingResponse {
@@ -634,6 +667,70 @@
         }
     }
 
+    /// Reads the first list of an answer to a renewal.
+    fn begin_answer(&mut self, index: usize, order: RenewOrder, lost: bool, term: u64) {
+        self.half_answers.push(HalfAnswer {
+            due_ms: self.now_ms + self.listing.gap_ms,
+            lost,
+            term,
+            index,
+            incarnation: self.upstreams[index].incarnation,
+            order,
+            running: self.listed_running(index),
+            ended: self.listed_ended(index),
+        });
+    }
+
+    /// Reads the second list and the clock of the answers that are due, and sends them.
+    fn finish_half_answers(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.half_answers)
+            .into_iter()
+            .partition(|half| half.due_ms <= now_ms);
+        self.half_answers = later;
+        for mut half in due {
+            let upstream = &self.upstreams[half.index];
+            let silent = upstream.dead || upstream.unreachable_until_ms > now_ms;
+            if silent || upstream.incarnation != half.incarnation {
+                if !half.lost {
+                    self.respond_unknown(&UpstreamOrder::Renew(half.order), half.term);
+                }
+                continue;
+            }
+            match self.listing.ended_first {
+                true => half.running = self.listed_running(half.index),
+                false => half.ended = self.listed_ended(half.index),
+            }
+            let upstream = &self.upstreams[half.index];
+            let reply = RenewReply {
+                incarnation: half.incarnation,
+                clock_ms: upstream.clock_ms,
+                ended_is_partial: half.ended.len() >= self.listed_ends_max,
+                running: half.running,
+                ended: half.ended,
+            };
+            if !half.lost {
+                self.pending_responses.push(PendingResponse {
+                    due_ms: now_ms + STEP_MS,
+                    term: half.term,
+                    response: OrderResponse::Renew(half.order, Ok(reply)),
+                });
+            }
+        }
+    }
+
+    fn listed_running(&self, index: usize) -> Vec<RunningTask> {
+        let hides = self.listing.hides_stopping;
+        let runs = self.upstreams[index].runs.iter();
+        let listed = runs.filter(|run| !hides || run.stopping_ms.is_none());
+        listed.map(running_row).collect()
+    }
+
+    fn listed_ended(&self, index: usize) -> Vec<EndedTask> {
+        let ended = self.upstreams[index].ended.iter();
+        ended.take(self.listed_ends_max).cloned().collect()
+    }
+
     fn deliver_due_responses(&mut self) {
         let now_ms = self.now_ms;
         let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.pending_responses)
@@ -765,7 +862,7 @@
         Ok(upstream.clock_ms)
     }
 
-    fn renew(&mut self, index: usize, order: &RenewOrder) -> Result<RenewReply, OrderFailure> {
+    fn renew(&mut self, index: usize, order: &RenewOrder) -> Result<(), OrderFailure> {
         let upstream = &mut self.upstreams[index];
         if order.target.fencing_token < upstream.token {
             return Err(OrderFailure::Fenced);
@@ -779,14 +876,6 @@
             .extract_if(.., |end| end.number <= order.recorded_up_to)
             .collect();
         let discarded_up_to = upstream.discarded_up_to;
-        let listed = upstream.ended.iter().take(self.listed_ends_max);
-        let reply = RenewReply {
-            incarnation: upstream.incarnation,
-            clock_ms: upstream.clock_ms,
-            running: upstream.runs.iter().map(running_row).collect(),
-            ended: listed.cloned().collect(),
-            ended_is_partial: upstream.ended.len() >= self.listed_ends_max,
-        };
         let is_recorded_end =
             |end: &&EndedTask| end.kind == EndKind::Done && end.number > discarded_up_to;
         for end in recorded.iter().filter(is_recorded_end) {
@@ -803,7 +892,7 @@
                 order.target.fencing_token
             ));
         }
-        Ok(reply)
+        Ok(())
     }
 
     fn advance_upstreams(&mut self) {
@@ -899,6 +988,37 @@
         });
     }
 
+    /// Adds an upstream without room at the address of another one.
+    pub fn add_stranger(&mut self, index: usize) {
+        let mut stranger = self.upstreams[index].clone();
+        stranger.name = name("stranger");
+        stranger.capacity = ResourceAmount::default();
+        stranger.unreachable_until_ms = 0;
+        stranger.runs.clear();
+        stranger.ended.clear();
+        stranger.incarnation += 1;
+        self.upstreams.push(stranger);
+    }
+
+    /// Moves an upstream to another address.
+    pub fn move_upstream(&mut self, index: usize) {
+        let port = self.upstreams[index].address.port();
+        self.upstreams[index].address.set_port(port + 500);
+    }
+
+    /// Returns an upstream's report.
+    pub fn report_of(&self, index: usize) -> UpstreamReport {
+        report(&self.upstreams[index])
+    }
+
+    /// Passes a report to the owner.
+    pub fn deliver_report(&mut self, report: UpstreamReport) {
+        let time = self.time();
+        let owner = self.owner.as_mut().expect("an owner");
+        owner.set_time(time);
+        owner.on_report(report);
+    }
+
     /// Crashes an upstream; with `restart` it comes back under its name at once.
     pub fn crash(&mut self, index: usize, restart: bool) {
         self.add_trace(format!("crash of {index}; the owner does not know"));
