Give up a run that is not listed only once a stop would be complete

Callers saw work run twice: a run was started again while the one before was at work, or after that one had ended well and its end had been acknowledged.

Cause: a run in neither list of an answer counted as over if the answer's clock was later than that of its start or its stop. The order of two clock readings stood for the order of events. It is the same only if an upstream reads both lists and the clock in one step and lists a run until it has ended; the platform promises neither. A run that begins, ends or is being stopped while the answer is written is in neither list.

Now only the answer to a renewal that was sent after the run was confirmed can lack it, one such answer proves nothing, and the run is given up when an answer that was asked for a whole stop later still lacks it (counted from the answer to the stop, if one was sent). A later life still proves it at once: after its answer it takes no order of the life before.

Ruled out: asking twice without the wait.

--- a/src/work/owner/job_state.rs
+++ b/src/work/owner/job_state.rs
@@ -52,6 +52,21 @@
     Running,
 }
 
+/// Progress of a stop order to a member's run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StopProgress {
+    /// None was sent.
+    #[default]
+    Unsent,
+    /// Sent and not answered; it may have been carried out.
+    Sent,
+    /// Answered. The run ends within the longest time that a stop takes.
+    Answered {
+        /// When the first answer arrived, steady ms.
+        at_ms: u64,
+    },
+}
+
 /// Placement and progress of one task.
 #[derive(Clone, Debug, Default)]
 pub struct MemberState {
@@ -61,8 +76,15 @@
     pub upstream: Option<ObjectName>,
     /// Incarnation of the upstream when the member was placed.
     pub incarnation: u64,
-    /// The upstream's clock when it last confirmed the run, in ms.
+    /// The upstream's clock when it last confirmed the run or took its stop, in ms; 0 for never.
     pub confirmed_ms: u64,
+    /// Number of renewals that had been sent to the upstream by then; `None` for never. Only the answer
+    /// to a later one can show that the run is not there.
+    pub confirmed_at_renewal: Option<u64>,
+    /// Whether the run has been told to stop.
+    pub stop: StopProgress,
+    /// When an answer lacked the run for the first time since it was last confirmed, steady ms.
+    pub unlisted_since_ms: Option<u64>,
     /// When the last order was sent, steady ms.
     pub last_order_ms: u64,
     /// Whether an order is in flight.
--- a/src/work/owner/reconcile.rs
+++ b/src/work/owner/reconcile.rs
@@ -1,10 +1,13 @@
 //! Comparison of the runs that an upstream lists with those that the owner expects there.
 
 use crate::tables::name::ObjectName;
+use crate::work::clock::drift_safe_wait_ms;
 use crate::work::owner::PoolOwner;
-use crate::work::owner::job_state::{MemberPhase, UnitPhase};
+use crate::work::owner::job_state::{MemberPhase, StopProgress, UnitPhase};
 use crate::work::owner::loss_proof::LossProof;
+use crate::work::owner::upstream_state::HeldTask;
 use crate::work::record::JobPhase;
+use crate::work::task_ref::TaskRef;
 use crate::work::upstream::RenewReply;
 
 /// Shortest time between two slowdown samples of an upstream, in ms.
@@ -23,10 +26,9 @@
                 continue;
             };
             self.keep_checkpoint(job, unit, &running.checkpoint);
+            self.confirm_member(job, unit, member, reply.clock_ms);
             let state = &mut self.jobs[job].units[unit].members[member];
-            state.start_unconfirmed = false;
             state.incarnation = incarnation;
-            state.confirmed_ms = reply.clock_ms;
             state.percent = running.percent;
             state.reported_ms = now_ms;
             let start_time_unknown = state.began_ms == 0;
@@ -60,52 +62,87 @@
 
     /// Gives up runs that the upstream should have but lists neither as running nor as ended. A
     /// partial list proves nothing; the rest of it follows once its ends are acknowledged.
+    ///
+    /// Upstreams need not read their lists in one step, nor list a run while it stops, so one answer
+    /// proves nothing either: the run must still be missing when a stop would be complete.
     pub(super) fn reconcile_missing(&mut self, name: &ObjectName, reply: &RenewReply) {
-        if reply.ended_is_partial {
-            return;
-        }
         let Some(index) = self.upstream_index(name) else {
             return;
         };
-        let incarnation = self.upstreams[index].incarnation;
+        self.upstreams[index].recheck_ms = None;
+        if reply.ended_is_partial {
+            return;
+        }
         for held in self.upstreams[index].held.clone() {
-            let Some(job) = self.job_index(&held.job) else {
-                continue;
-            };
-            let unit = &self.jobs[job].units[held.unit];
-            let state = &unit.members[held.member];
-            let earlier_incarnation = state.incarnation != 0 && state.incarnation < incarnation;
-            let stopping = unit.phase != UnitPhase::Active;
-            let known = state.phase == MemberPhase::Running || stopping;
-            let settled = known && !state.start_unconfirmed && !state.in_flight;
-            let confirmed_clock_ms = state.confirmed_ms;
-            let newer = confirmed_clock_ms != 0 && reply.clock_ms > confirmed_clock_ms;
-            let gone = earlier_incarnation || (settled && newer);
-            if !gone {
-                continue;
-            }
-            let run = unit.run;
-            let task = self.jobs[job].task(held.unit, held.member);
-            let listed = reply
-                .running
-                .iter()
-                .any(|one| one.run == run && one.task == task);
-            let ended = reply
-                .ended
-                .iter()
-                .any(|one| one.run == run && one.task == task);
-            if !listed && !ended {
-                let proof = match earlier_incarnation {
-                    true => LossProof::LaterLife,
-                    false => LossProof::NotListed {
-                        answer_clock_ms: reply.clock_ms,
-                        confirmed_clock_ms,
-                        running: reply.running.len(),
-                        ended: reply.ended.len(),
-                    },
-                };
-                self.member_lost(job, held.unit, held.member, proof);
+            if let Some(job) = self.job_index(&held.job)
+                && let Some(proof) = self.absence_proof(index, job, &held, reply)
+            {
+                self.on_unlisted_run(index, job, &held, proof);
             }
         }
     }
+
+    /// Gives up a run that an answer lacks, unless a stop may still be in progress.
+    fn on_unlisted_run(&mut self, index: usize, job: usize, held: &HeldTask, proof: LossProof) {
+        // No order of the earlier life is carried out after the later one has seen a newer token.
+        if proof == LossProof::LaterLife {
+            self.member_lost(job, held.unit, held.member, proof);
+            return;
+        }
+        let now_ms = self.now.steady_ms;
+        let state = &mut self.jobs[job].units[held.unit].members[held.member];
+        let seen_before = state.unlisted_since_ms.is_some();
+        let mut since_ms = *state.unlisted_since_ms.get_or_insert(now_ms);
+        if let StopProgress::Answered { at_ms } = state.stop {
+            since_ms = since_ms.max(at_ms);
+        }
+        let recheck_ms = since_ms + drift_safe_wait_ms(self.timing.stop_ms);
+        let upstream = &mut self.upstreams[index];
+        if seen_before && upstream.renewal_sent_ms >= recheck_ms {
+            self.member_lost(job, held.unit, held.member, proof);
+            return;
+        }
+        let earliest_ms = upstream.recheck_ms.unwrap_or(recheck_ms);
+        upstream.recheck_ms = Some(earliest_ms.min(recheck_ms));
+    }
+
+    /// Returns the proof that a held task's run is not at its upstream, if the answer lists it neither as
+    /// running nor as ended and was asked for after the upstream had confirmed the run.
+    fn absence_proof(
+        &self,
+        index: usize,
+        job: usize,
+        held: &HeldTask,
+        reply: &RenewReply,
+    ) -> Option<LossProof> {
+        let upstream = &self.upstreams[index];
+        let unit = &self.jobs[job].units[held.unit];
+        let state = &unit.members[held.member];
+        let task = self.jobs[job].task(held.unit, held.member);
+        let is_run = |other: &TaskRef, run: u32| run == unit.run && *other == task;
+        let mut running = reply.running.iter();
+        let mut ended = reply.ended.iter();
+        let listed = running.any(|one| is_run(&one.task, one.run))
+            || ended.any(|one| is_run(&one.task, one.run));
+        if listed {
+            return None;
+        }
+        if state.incarnation != 0 && state.incarnation < upstream.incarnation {
+            return Some(LossProof::LaterLife);
+        }
+        let known = state.phase == MemberPhase::Running || unit.phase != UnitPhase::Active;
+        let settled = known
+            && !state.start_unconfirmed
+            && !state.in_flight
+            && state.stop != StopProgress::Sent;
+        let asked_after = state
+            .confirmed_at_renewal
+            .is_some_and(|renewal| renewal < upstream.renewals);
+        (settled && asked_after).then_some(LossProof::NotListed {
+            answer_clock_ms: reply.clock_ms,
+            confirmed_clock_ms: state.confirmed_ms,
+            running: reply.running.len(),
+            ended: reply.ended.len(),
+        })
+    }
 }
--- a/src/work/owner/renewals.rs
+++ b/src/work/owner/renewals.rs
@@ -4,7 +4,7 @@
 //! are not renewed, and its tasks run elsewhere only once the leases are over on the upstream's
 //! own, possibly slower clock.
 
-use crate::work::owner::job_state::{MemberPhase, UnitPhase};
+use crate::work::owner::job_state::{MemberPhase, StopProgress, UnitPhase};
 use crate::work::owner::loss_proof::LossProof;
 use crate::work::owner::{PendingStart, PoolOwner, UpstreamOrder};
 use crate::work::upstream::{RenewOrder, StartOrder, StopOrder};
@@ -74,8 +74,11 @@
                 && upstream.missed_renewals == 0
                 && upstream.end_batch.is_none()
                 && !ack_is_delayed;
+            let until_recheck_ms = upstream
+                .recheck_ms
+                .map_or(RENEW_WAIT_MS, |at_ms| at_ms.saturating_sub(now_ms));
             let wait_ms = match may_long_poll && !upstream.held.is_empty() {
-                true => RENEW_WAIT_MS,
+                true => RENEW_WAIT_MS.min(until_recheck_ms),
                 false => 0,
             };
             // The leases of a silent upstream must expire; it is only probed.
@@ -84,6 +87,8 @@
                 _ => None,
             };
             upstream.renewing = true;
+            upstream.renewals += 1;
+            upstream.renewal_sent_ms = now_ms;
             upstream.acked_end = upstream.acked_end.max(acked_end);
             self.ready.push(UpstreamOrder::Renew(RenewOrder {
                 target,
@@ -243,6 +248,9 @@
         let state = &mut self.jobs[job].units[unit].members[member];
         state.in_flight = true;
         state.last_order_ms = now_ms;
+        if state.stop == StopProgress::Unsent {
+            state.stop = StopProgress::Sent;
+        }
         self.ready.push(UpstreamOrder::Stop(order));
     }
 }
--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -4,7 +4,7 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::clock::ClockReading;
-use crate::work::owner::job_state::{MemberPhase, UnitPhase};
+use crate::work::owner::job_state::{MemberPhase, StopProgress, UnitPhase};
 use crate::work::owner::renewals::UNRECORDED_RENEW_PAUSE_MS;
 use crate::work::owner::{PoolOwner, UpstreamOrder};
 use crate::work::record::JobPhase;
@@ -44,9 +44,8 @@
                     "owner: a run has started."
                 );
                 state.phase = MemberPhase::Running;
-                state.start_unconfirmed = false;
-                state.confirmed_ms = clock_ms;
                 state.began_ms = now_ms;
+                self.confirm_member(job, unit, member, clock_ms);
                 if !self.jobs[job].phase.is_over() {
                     self.set_phase(job, JobPhase::Running);
                 }
@@ -87,10 +86,8 @@
             StartRefusal::Old { clock_ms } => {
                 // An earlier copy of the order ran. A renewal answered after this time tells how it
                 // ended.
-                let state = &mut self.jobs[job].units[unit].members[member];
-                state.phase = MemberPhase::Running;
-                state.start_unconfirmed = false;
-                state.confirmed_ms = clock_ms;
+                self.jobs[job].units[unit].members[member].phase = MemberPhase::Running;
+                self.confirm_member(job, unit, member, clock_ms);
                 self.renew_soon(&name);
             }
             StartRefusal::Room | StartRefusal::Unwell | StartRefusal::Rejected => {
@@ -110,13 +107,17 @@
         let Some((job, unit, member)) = self.find_member(key) else {
             return;
         };
+        let now_ms = self.now.steady_ms;
         let state = &mut self.jobs[job].units[unit].members[member];
         state.in_flight = false;
         match result {
             Ok(clock_ms) => {
-                // From this time on, the run is listed as ended or was never started.
-                state.confirmed_ms = clock_ms;
-                state.start_unconfirmed = false;
+                // The run is listed as ended once its stop is complete, or was never started. Answers to
+                // repeated orders say nothing new.
+                if !matches!(state.stop, StopProgress::Answered { .. }) {
+                    state.stop = StopProgress::Answered { at_ms: now_ms };
+                    self.confirm_member(job, unit, member, clock_ms);
+                }
                 let name = order.target.upstream.clone();
                 self.renew_soon(&name);
             }
@@ -125,6 +126,21 @@
         }
     }
 
+    /// Notes that a member's upstream has confirmed its run, or its stop, at a time on its clock.
+    pub(super) fn confirm_member(&mut self, job: usize, unit: usize, member: usize, clock_ms: u64) {
+        let state = &self.jobs[job].units[unit].members[member];
+        let index = state
+            .upstream
+            .as_ref()
+            .and_then(|name| self.upstream_index(name));
+        let renewals = index.map(|index| self.upstreams[index].renewals);
+        let state = &mut self.jobs[job].units[unit].members[member];
+        state.start_unconfirmed = false;
+        state.confirmed_ms = clock_ms;
+        state.confirmed_at_renewal = renewals;
+        state.unlisted_since_ms = None;
+    }
+
     /// Returns the job, unit and member indexes of a run, if it is the task's current run on that
     /// upstream.
     pub(super) fn find_member(
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -58,6 +58,12 @@
     pub used: ResourceAmount,
     /// Whether a renewal is in flight.
     pub renewing: bool,
+    /// Number of renewals sent.
+    pub renewals: u64,
+    /// When the last renewal was sent, steady ms.
+    pub renewal_sent_ms: u64,
+    /// When to ask again for a run that the last answer should have listed and did not, steady ms.
+    pub recheck_ms: Option<u64>,
     /// Earliest time of the next renewal, steady ms.
     pub next_renewal_ms: u64,
     /// Consecutive renewals without an answer.
@@ -103,6 +109,9 @@
             held: Vec::new(),
             used: ResourceAmount::default(),
             renewing: false,
+            renewals: 0,
+            renewal_sent_ms: 0,
+            recheck_ms: None,
             next_renewal_ms: 0,
             missed_renewals: 0,
             seen_end: 0,
