Ignore reports of an upstream's earlier life

Callers could see work run twice, or work that never starts: a report of an earlier life that is stored or read after one of the later life set the upstream's address, capacity and draining state back. Orders then went to an address where another process may listen.

--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -184,6 +184,14 @@
             arrived_ms: now_ms,
         };
         let upstream = self.upstream_mut(&name);
+        let known_born = upstream.incarnation;
+        if incarnation < known_born {
+            log::info!(
+                upstream = name.as_str(), address:% = report.address, born = incarnation, known_born;
+                "owner: a report of an earlier life is ignored."
+            );
+            return false;
+        }
         let newly_listed = !upstream.listed;
         let capacity_changed = newly_listed
             || upstream.report.as_ref().is_none_or(|old| {
@@ -192,7 +200,7 @@
         if let Some(before) = upstream.address.filter(|before| *before != report.address) {
             log::warn!(
                 upstream = name.as_str(), before:% = before, address:% = report.address,
-                born = incarnation, known_born = upstream.incarnation;
+                born = incarnation, known_born;
                 "owner: an upstream is listed at another address; orders go there."
             );
         }
