Let leases run out when another process answers at an upstream's address

Callers could see work run twice: status 421 at an upstream's address counted as proof that the upstream was over, and its work was started again at once. It speaks of the address only. An upstream that is cut off may run on while another process uses its port.

Cost: work on upstreams that crash and come back under another name waits for its leases, some 2 s longer than with the 421.

--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -182,6 +182,8 @@
     fn on_missed_renewal(&mut self, index: usize, failure: OrderFailure) {
         let now_ms = self.now.steady_ms;
         let upstream = &mut self.upstreams[index];
+        // No failure shows that the upstream is over, so its leases must run out. One that is cut off may
+        // refuse connections, lose its entry, and have its address used by another process.
         if upstream.missed_renewals == 0 {
             log::warn!(
                 upstream = upstream.name.as_str(), failure:? = failure,
@@ -193,16 +195,6 @@
         metrics::counter!("hemlockramp_renewals_unanswered_total").increment(1);
         // The last acknowledgement of recorded ends may have been lost.
         upstream.acked_end = 0;
-        // Only a later life proves that this one is over. An upstream that is cut off may refuse
-        // connections and lose its entry, and run on under its leases.
-        if failure == OrderFailure::OtherLife && upstream.leases_expire_ms > now_ms {
-            log::warn!(
-                upstream = upstream.name.as_str(),
-                lease_over_in_ms = upstream.leases_expire_ms - now_ms;
-                "owner: another life answers at an upstream's address; its leases are over."
-            );
-            upstream.leases_expire_ms = now_ms;
-        }
         if upstream.held.is_empty() && !upstream.listed {
             upstream.acked_end = upstream.recorded_end;
         }
--- a/src/work/upstream.rs
+++ b/src/work/upstream.rs
@@ -120,7 +120,8 @@
     Fenced,
     /// The connection was refused. The upstream may be cut off and run on.
     Refused,
-    /// A later life of the upstream's process answered at its address, so this one is over.
+    /// Another process than the upstream answered at its address. The upstream may be cut off and run
+    /// on.
     OtherLife,
     /// The upstream refused the order for another reason.
     Rejected,
