Count an owner's term from the append that fenced earlier owners

Callers saw a task run twice at once. One way to it: a host appends its claim and the fence in the stream of runs, and is then paused, or its listings of runs and upstreams come late. It counted the ownership timeout from the start of its loop, so it sent orders for a whole timeout that no append confirmed. A host that claims after it waits for leases of earlier owners on the ground that these send nothing later than the timeout after their last confirmed append was sent.

The claim now returns when its fence was sent, and the loop counts from there. A claim that took longer than the timeout ends the term before any order.

The case of a prompt claim shows that the host does send orders.

Ruled out by reading: appends of the loop already count from before they are sent, over all their retries.

--- a/src/work/claim.rs
+++ b/src/work/claim.rs
@@ -5,8 +5,9 @@
 use eyre::{Report, ensure, eyre};
 
 use crate::tables::name::ObjectName;
+use crate::work::claimed_term::ClaimedTerm;
 use crate::work::follow::list_newest;
-use crate::work::host_context::{HostContext, host_time};
+use crate::work::host_context::{HostContext, host_time, steady_ms};
 use crate::work::owner::PoolOwner;
 use crate::work::owner_election::next_term;
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
@@ -21,7 +22,7 @@
 const FENCE_KEY: &str = "owner";
 
 /// Claims the pool, fences the previous owner and installs this host's `PoolOwner`. Returns the
-/// new term.
+/// new term. The claim may take long, so the term may have run out by then.
 ///
 /// # Errors
 ///
@@ -29,7 +30,7 @@
 /// store is unavailable, or no configuration is known.
 pub(super) async fn claim<S: StorePort, O: OrderPort, R: RecordReader>(
     context: &HostContext<S, O, R>,
-) -> Result<u64, Report> {
+) -> Result<ClaimedTerm, Report> {
     let to_report = |failure: StoreFailure| eyre!("{failure}");
     let before = context.jobs_view.borrow().owner.clone();
     context.refresh_jobs().await.map_err(to_report)?;
@@ -61,13 +62,14 @@
         stamp: Some(stamp(term, 0)),
         expected_end: None,
     };
+    let fenced_ms = steady_ms();
     context.call_store(&call).await.map_err(to_report)?;
     let runs = list_runs(context).await.map_err(to_report)?;
     let reports = list_all(context, StreamName::Upstreams)
         .await
         .map_err(to_report)?;
     install_owner(context, term, &runs, &reports)?;
-    Ok(term)
+    Ok(ClaimedTerm { term, fenced_ms })
 }
 
 /// Returns the owner's record for the jobs stream: a heartbeat, or with `released` set the
--- a/src/work/mod.rs
+++ b/src/work/mod.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod amount;
 mod claim;
+mod claimed_term;
 pub mod clock;
 pub mod config;
 pub mod crash_history;
--- a/src/work/owner_loop/mod.rs
+++ b/src/work/owner_loop/mod.rs
@@ -7,6 +7,7 @@
 
 mod job_rows;
 mod jobs_item;
+mod ownership;
 mod report_sink;
 mod writer;
 
@@ -17,6 +18,7 @@
 use tokio::sync::Notify;
 
 use crate::work::claim::{claim, owner_record};
+use crate::work::claimed_term::ClaimedTerm;
 use crate::work::follow::StreamFollower;
 use crate::work::group_commit::PendingRecord;
 use crate::work::host_context::{HostContext, host_time, steady_ms};
@@ -24,6 +26,7 @@
 use crate::work::owner_election::should_step_down;
 use crate::work::owner_loop::job_rows::JobRows;
 use crate::work::owner_loop::jobs_item::JobsItem;
+use crate::work::owner_loop::ownership::Ownership;
 use crate::work::owner_loop::report_sink::ReportSink;
 use crate::work::owner_loop::writer::{ItemOutcome, OwnerWriter};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
@@ -38,6 +41,8 @@
 const HEARTBEAT_INTERVAL_MS: u64 = 450;
 /// Delay after a failed claim of the pool.
 const CLAIM_RETRY_MS: u64 = 150;
+/// Why a term ends that the store no longer confirms.
+const UNCONFIRMED: &str = "no append was confirmed within the ownership timeout";
 
 /// Claims the pool whenever it needs an owner, and runs the owner's loop after a successful
 /// claim. Never returns.
@@ -50,7 +55,7 @@
             continue;
         }
         match claim(&context).await {
-            Ok(term) => OwnerLoop::new(&context, term).run().await,
+            Ok(claimed) => OwnerLoop::new(&context, claimed).run().await,
             Err(error) => {
                 log::info!("owner: claiming the pool failed, retrying later: {error}.");
                 tokio::time::sleep(Duration::from_millis(CLAIM_RETRY_MS)).await;
@@ -83,8 +88,7 @@
     start_offset: u64,
     ended: Rc<Cell<bool>>,
     recording: Rc<Cell<bool>>,
-    /// When the newest confirmed append was sent, steady ms.
-    confirmed_ms: Rc<Cell<u64>>,
+    ownership: Rc<Ownership>,
     runs: Rc<OwnerWriter>,
     jobs: Rc<OwnerWriter>,
     job_rows: Rc<RefCell<JobRows>>,
@@ -99,7 +103,7 @@
             start_offset: self.start_offset,
             ended: Rc::clone(&self.ended),
             recording: Rc::clone(&self.recording),
-            confirmed_ms: Rc::clone(&self.confirmed_ms),
+            ownership: Rc::clone(&self.ownership),
             runs: Rc::clone(&self.runs),
             jobs: Rc::clone(&self.jobs),
             job_rows: Rc::clone(&self.job_rows),
@@ -109,7 +113,9 @@
 }
 
 impl<S: StorePort, O: OrderPort, R: RecordReader> OwnerLoop<S, O, R> {
-    fn new(context: &Rc<HostContext<S, O, R>>, term: u64) -> Self {
+    fn new(context: &Rc<HostContext<S, O, R>>, claimed: ClaimedTerm) -> Self {
+        let term = claimed.term;
+        let timeout_ms = context.identity.timing.ownership_timeout_ms;
         let writer = |stream| {
             Rc::new(OwnerWriter {
                 stream,
@@ -124,7 +130,7 @@
             start_offset: context.next_jobs_offset.get(),
             ended: Rc::default(),
             recording: Rc::default(),
-            confirmed_ms: Rc::new(Cell::new(steady_ms())),
+            ownership: Rc::new(Ownership::new(claimed, timeout_ms)),
             runs: writer(StreamName::Runs),
             jobs: writer(StreamName::Jobs),
             job_rows: Rc::default(),
@@ -133,6 +139,16 @@
     }
 
     async fn run(self) {
+        if self.ownership.has_run_out(steady_ms()) {
+            self.end(UNCONFIRMED);
+        } else {
+            self.act().await;
+        }
+        *self.context.owner.borrow_mut() = None;
+    }
+
+    /// Acts as the owner until the term has ended.
+    async fn act(&self) {
         metrics::gauge!("hemlockramp_owner").set(1.0);
         let sink = ReportSink {
             owner_loop: self.clone(),
@@ -151,7 +167,6 @@
         }
         metrics::gauge!("hemlockramp_owner").set(0.0);
         self.job_wake.notify_one();
-        *self.context.owner.borrow_mut() = None;
     }
 
     /// Runs one round of planning, orders and recording, unless the term has ended.
@@ -163,13 +178,10 @@
                 .as_ref()
                 .is_some_and(|row| row.record.term > self.term)
         };
-        let ownership_timeout_ms = self.context.identity.timing.ownership_timeout_ms;
-        let unconfirmed =
-            steady_ms().saturating_sub(self.confirmed_ms.get()) > ownership_timeout_ms;
-        if replaced || unconfirmed {
+        if replaced || self.ownership.has_run_out(steady_ms()) {
             self.end(match replaced {
                 true => "another host owns the pool under a later term",
-                false => "no append was confirmed within the ownership timeout",
+                false => UNCONFIRMED,
             });
             return;
         }
@@ -264,7 +276,7 @@
                 self.end(&stop.failure.to_string());
                 return;
             }
-            self.confirmed_ms.set(sent_ms.max(self.confirmed_ms.get()));
+            self.ownership.confirm(sent_ms);
         }
         let _ = self.with_owner(|owner| {
             owner.set_time(host_time());
@@ -323,7 +335,7 @@
                 self.close_item(item, outcome);
             });
         let Err(stop) = appended.await else {
-            self.confirmed_ms.set(sent_ms.max(self.confirmed_ms.get()));
+            self.ownership.confirm(sent_ms);
             return true;
         };
         for item in stop.failed {
--- /dev/null
+++ b/tests/paused_owner.rs
@@ -0,0 +1,248 @@
+//! Tests of an owner whose process was paused, or whose store was slow: it must not act on a
+//! permission that has run out meanwhile.
+
+mod support;
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use hemlockramp::tables::name::ObjectName;
+use hemlockramp::work::amount::ResourceAmount;
+use hemlockramp::work::config::{QueueRule, WorkConfig};
+use hemlockramp::work::host::EntryHost;
+use hemlockramp::work::host_context::HostIdentity;
+use hemlockramp::work::owner::OwnerTiming;
+use hemlockramp::work::ports::RecordReader;
+use hemlockramp::work::record::{
+    AssignmentRecord, JobRecord, RunRecord, RunRow, UnitRecord, WorkRecord, encode_run_row,
+};
+use hemlockramp::work::spec::{StepSpec, WorkSpec};
+use hemlockramp::work::store_limits::StoreLimits;
+use hemlockramp::work::stream::{KeyedValue, StreamName};
+use hemlockramp::work::upstream::UpstreamReport;
+use support::memory_store::MemoryStore;
+use support::order_log::OrderLog;
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+
+/// Time without a confirmed append after which an owner may send no more orders, in ms. Longer than
+/// the time between two heartbeats.
+const OWNERSHIP_TIMEOUT_MS: u64 = 1_500;
+/// A delay that outlasts the ownership, in ms.
+const LATE_MS: u64 = 2_000;
+/// Time for which a host is observed, in ms.
+const OBSERVED_MS: u64 = 5_000;
+/// Time from the host's check of its ownership to the log's note of an order, at most, in ms.
+const SEND_SLACK_MS: u64 = 100;
+
+fn name(text: &str) -> ObjectName {
+    ObjectName::try_from(text).expect("a valid name")
+}
+
+/// Reads any configuration as the same one, and any upstream as one of 8 accelerators.
+#[derive(Clone)]
+struct FixedReader;
+
+impl RecordReader for FixedReader {
+    fn config(&self, _entry: &KeyedValue) -> Option<WorkConfig> {
+        Some(WorkConfig {
+            version: 1,
+            pools: vec![name("pool")],
+            ..WorkConfig::default()
+        })
+    }
+
+    fn upstream(&self, entry: &KeyedValue) -> Option<UpstreamReport> {
+        Some(UpstreamReport {
+            name: name(&entry.key),
+            pool: name("pool"),
+            address: "127.0.0.1:9".parse().expect("an address"),
+            domain: name("domain"),
+            rack: None,
+            labels: Vec::new(),
+            capacity: ResourceAmount {
+                cpu_milli: 8_000,
+                memory_mb: 8_000,
+                accelerators: 8,
+            },
+            draining: false,
+            remaining_ms: None,
+            clock_ms: 1_000,
+            incarnation: 1,
+        })
+    }
+}
+
+fn identity() -> HostIdentity {
+    HostIdentity {
+        name: name("host"),
+        rank: 0.0,
+        large: true,
+        timing: OwnerTiming {
+            lease_ms: 5_400,
+            lease_max_ms: 6_000,
+            ownership_timeout_ms: OWNERSHIP_TIMEOUT_MS,
+            far_factor: 3,
+            reclaim_ms: 3_400,
+            stop_ms: 900,
+            checkpoint_max_bytes: 1_000,
+        },
+        limits: StoreLimits {
+            record_bytes: 262_144,
+            request_bytes: 2_097_152,
+        },
+    }
+}
+
+/// A job of one step of `count` tasks.
+fn job(count: u32) -> WorkRecord {
+    let step = StepSpec {
+        count,
+        need: ResourceAmount {
+            cpu_milli: 1_000,
+            memory_mb: 1_000,
+            accelerators: 1,
+        },
+        estimate_ms: 1_000,
+        ..StepSpec::default()
+    };
+    let record = JobRecord {
+        team: None,
+        queue: name("queue"),
+        config_version: 1,
+        rule: QueueRule {
+            pool: name("pool"),
+            priority: 1,
+            attempts_max: 4,
+            stretch: 3.0,
+            objective_ms: 1_000,
+        },
+        accepted_ms: 0,
+        spec: WorkSpec {
+            payload: "p".into(),
+            steps: vec![step],
+            repeat: None,
+        },
+    };
+    WorkRecord::Job(name("a"), Box::new(record))
+}
+
+/// The stored row of the job's tasks, each of them on one upstream.
+fn run_row(upstreams: &[&str]) -> KeyedValue {
+    let unit = |upstream: &&str| UnitRecord {
+        run: 1,
+        places: vec![AssignmentRecord {
+            member: 0,
+            upstream: name(upstream),
+            incarnation: 1,
+        }],
+        ..UnitRecord::default()
+    };
+    let row = RunRow {
+        number: Some(0),
+        record: RunRecord {
+            units: upstreams.iter().map(unit).collect(),
+        },
+    };
+    encode_run_row(&name("a"), &row)
+}
+
+/// A store with a configuration, two upstreams and a job of two tasks, one on each of them.
+fn store_with_work() -> MemoryStore {
+    let store = MemoryStore::default();
+    let entry = |key: &str| KeyedValue {
+        key: key.to_owned(),
+        value: vec![1],
+    };
+    store.put(StreamName::Config, entry("config"));
+    store.put(StreamName::Upstreams, entry("u1"));
+    store.put(StreamName::Upstreams, entry("u2"));
+    store.put(StreamName::Jobs, KeyedValue::from(&job(2)));
+    store.put(StreamName::Runs, run_row(&["u1", "u2"]));
+    store
+}
+
+async fn start_host(store: &MemoryStore, orders: &OrderLog) {
+    let listener = TcpListener::bind("127.0.0.1:0").await;
+    let listener = listener.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let (store, orders) = (store.clone(), orders.clone());
+    EntryHost::start(
+        identity(),
+        store,
+        orders,
+        FixedReader,
+        listener,
+        address,
+        &[],
+    );
+}
+
+async fn pause(span_ms: u64) {
+    tokio::time::sleep(Duration::from_millis(span_ms)).await;
+}
+
+/// Runs the test and then ends all tasks of its hosts.
+fn run_local(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("build the runtime");
+    LocalSet::new().block_on(&runtime, test);
+}
+
+fn assert_all_in_time(orders: &OrderLog, case: &str) {
+    for order in orders.sent() {
+        assert!(
+            order.unconfirmed_ms <= OWNERSHIP_TIMEOUT_MS + SEND_SLACK_MS,
+            "{case}: {order:?}"
+        );
+    }
+}
+
+struct ListingCase {
+    name: &'static str,
+    /// The stream whose listings come late.
+    late: Option<StreamName>,
+    /// Whether the host gets so far as to send orders.
+    acts: bool,
+}
+
+/// Guards against duplicate runs: a host that was paused while it claimed the pool counted its
+/// ownership from its waking, and sent orders when a later owner no longer reckoned with any.
+#[test]
+fn late_claim_gives_no_fresh_ownership() {
+    let cases = [
+        ListingCase {
+            name: "in time",
+            late: None,
+            acts: true,
+        },
+        ListingCase {
+            name: "runs are listed late",
+            late: Some(StreamName::Runs),
+            acts: false,
+        },
+        ListingCase {
+            name: "upstreams are listed late",
+            late: Some(StreamName::Upstreams),
+            acts: false,
+        },
+    ];
+    run_local(async {
+        join_all(cases.map(check_listing)).await;
+    });
+}
+
+async fn check_listing(case: ListingCase) {
+    let store = store_with_work();
+    if let Some(stream) = case.late {
+        store.delay_listings(stream, LATE_MS);
+    }
+    let orders = OrderLog::new(store.clone());
+    start_host(&store, &orders).await;
+    pause(OBSERVED_MS).await;
+    assert_ne!(store.epoch(StreamName::Runs), 0, "{}: no claim", case.name);
+    assert_all_in_time(&orders, case.name);
+    assert_eq!(!orders.sent().is_empty(), case.acts, "{}", case.name);
+}
--- /dev/null
+++ b/tests/support/memory_store.rs
@@ -0,0 +1,218 @@
+//! A store in memory: keyed streams with the epochs of their writers, and listings that come late.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hemlockramp::work::host_context::steady_ms;
+use hemlockramp::work::ports::StorePort;
+use hemlockramp::work::stream::{
+    KeyedValue, StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord, WriterStamp,
+};
+
+/// Interval at which a waiting read looks for new records, in ms.
+const READ_POLL_MS: u64 = 10;
+
+/// A stream with the newest append of its owners.
+#[derive(Debug, Default)]
+struct MemoryStream {
+    records: Vec<StreamRecord>,
+    epoch: u64,
+    sequence: u64,
+}
+
+impl MemoryStream {
+    fn end(&self) -> u64 {
+        self.records.len() as u64
+    }
+
+    fn append(
+        &mut self,
+        entries: &[KeyedValue],
+        stamp: Option<&WriterStamp>,
+        expected_end: Option<u64>,
+    ) -> Result<StoreReply, StoreFailure> {
+        let first = self.end();
+        if expected_end.is_some_and(|end| end != first) {
+            return Err(StoreFailure::Conflict);
+        }
+        if let Some(stamp) = stamp {
+            if stamp.epoch < self.epoch {
+                return Err(StoreFailure::Fenced);
+            }
+            if stamp.epoch == self.epoch && stamp.sequence != self.sequence + 1 {
+                return Err(StoreFailure::Conflict);
+            }
+            self.epoch = stamp.epoch;
+            self.sequence = stamp.sequence;
+        }
+        for entry in entries {
+            self.records.push(StreamRecord {
+                offset: self.end(),
+                entry: entry.clone(),
+            });
+        }
+        Ok(StoreReply {
+            first,
+            end: self.end(),
+            ..StoreReply::default()
+        })
+    }
+
+    fn read(&self, from: u64) -> StoreReply {
+        let from = self.end().min(from) as usize;
+        StoreReply {
+            records: self.records[from..].to_vec(),
+            end: self.end(),
+            ..StoreReply::default()
+        }
+    }
+
+    /// Lists the newest record of each key, sorted by key.
+    fn newest(&self) -> StoreReply {
+        let by_key = self
+            .records
+            .iter()
+            .map(|record| (&record.entry.key, record));
+        let newest: BTreeMap<_, _> = by_key.collect();
+        StoreReply {
+            records: newest.into_values().cloned().collect(),
+            end: self.end(),
+            ..StoreReply::default()
+        }
+    }
+}
+
+/// A stamped append that the store has confirmed.
+#[derive(Clone, Copy, Debug)]
+pub struct ConfirmedAppend {
+    pub epoch: u64,
+    /// When its caller sent it, steady ms.
+    pub sent_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct MemoryState {
+    jobs: RefCell<MemoryStream>,
+    runs: RefCell<MemoryStream>,
+    config: RefCell<MemoryStream>,
+    upstreams: RefCell<MemoryStream>,
+    confirmed: RefCell<Vec<ConfirmedAppend>>,
+    late_listing: Cell<Option<(StreamName, u64)>>,
+    jobs_reads_held: Cell<bool>,
+}
+
+/// The store. Clones share its streams.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryStore {
+    state: Rc<MemoryState>,
+}
+
+impl MemoryStore {
+    fn stream(&self, name: StreamName) -> &RefCell<MemoryStream> {
+        match name {
+            StreamName::Jobs => &self.state.jobs,
+            StreamName::Runs => &self.state.runs,
+            StreamName::Config => &self.state.config,
+            StreamName::Upstreams => &self.state.upstreams,
+        }
+    }
+
+    /// Appends a record without a stamp, as operators and upstreams do.
+    pub fn put(&self, stream: StreamName, entry: KeyedValue) {
+        let appended = self
+            .stream(stream)
+            .borrow_mut()
+            .append(&[entry], None, None);
+        appended.expect("no condition that could fail");
+    }
+
+    /// Appends records as the owner of a term, who is another process.
+    pub fn put_as_owner(&self, stream: StreamName, term: u64, entries: &[KeyedValue]) {
+        let stamp = WriterStamp {
+            writer: "owner".to_owned(),
+            epoch: term,
+            sequence: 0,
+        };
+        let mut stream = self.stream(stream).borrow_mut();
+        let appended = stream.append(entries, Some(&stamp), None);
+        appended.expect("a later term");
+    }
+
+    /// Lets all listings of a stream wait for this long at the store before they are read.
+    pub fn delay_listings(&self, stream: StreamName, delay_ms: u64) {
+        self.state.late_listing.set(Some((stream, delay_ms)));
+    }
+
+    /// Holds back the records of the jobs stream from its readers.
+    pub fn hold_jobs_reads(&self) {
+        self.state.jobs_reads_held.set(true);
+    }
+
+    /// Returns the highest epoch that has appended to a stream.
+    pub fn epoch(&self, stream: StreamName) -> u64 {
+        self.stream(stream).borrow().epoch
+    }
+
+    /// Returns when the newest confirmed append of a term was sent, steady ms.
+    pub fn confirmed_ms(&self, term: u64) -> Option<u64> {
+        let confirmed = self.state.confirmed.borrow();
+        let of_term = confirmed.iter().filter(|append| append.epoch == term);
+        of_term.map(|append| append.sent_ms).max()
+    }
+
+    async fn read(&self, stream: StreamName, from: u64, wait_ms: u64) -> StoreReply {
+        let until_ms = steady_ms() + wait_ms;
+        loop {
+            let held = stream == StreamName::Jobs && self.state.jobs_reads_held.get();
+            let reply = match held {
+                true => StoreReply {
+                    end: from,
+                    ..StoreReply::default()
+                },
+                false => self.stream(stream).borrow().read(from),
+            };
+            if !reply.records.is_empty() || steady_ms() >= until_ms {
+                return reply;
+            }
+            tokio::time::sleep(Duration::from_millis(READ_POLL_MS)).await;
+        }
+    }
+}
+
+impl StorePort for MemoryStore {
+    async fn call(&self, call: &StoreCall, _limit: Duration) -> Result<StoreReply, StoreFailure> {
+        match call {
+            StoreCall::Append {
+                stream,
+                entries,
+                stamp,
+                expected_end,
+            } => {
+                let sent_ms = steady_ms();
+                let mut memory = self.stream(*stream).borrow_mut();
+                let reply = memory.append(entries, stamp.as_ref(), *expected_end)?;
+                if let Some(stamp) = stamp {
+                    let epoch = stamp.epoch;
+                    let append = ConfirmedAppend { epoch, sent_ms };
+                    self.state.confirmed.borrow_mut().push(append);
+                }
+                Ok(reply)
+            }
+            StoreCall::Read {
+                stream,
+                from,
+                wait_ms,
+            } => Ok(self.read(*stream, *from, *wait_ms).await),
+            StoreCall::Newest { stream, .. } => {
+                if let Some((late, delay_ms)) = self.state.late_listing.get()
+                    && late == *stream
+                {
+                    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                }
+                Ok(self.stream(*stream).borrow().newest())
+            }
+        }
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,7 +4,9 @@
 
 pub mod fold;
 pub mod log;
+pub mod memory_store;
 pub mod naive;
+pub mod order_log;
 pub mod pool_sim;
 
 use std::path::PathBuf;
