Drop orders that a paused owner no longer may send

Callers saw a task run twice at once. Orders are sent by tasks of their own, each after the check of the ownership in its round. A process that was paused between the two sent the rest of the round on waking, however long after. Most of these do no harm, as a lease ends at a time of the upstream's own clock. But an upstream that has restarted under its name meanwhile counts its clock anew, takes an old end of a lease for the longest one, and has seen no token of the new owner.

Each order now checks the ownership again when it is sent, and an owner whose ownership has run out ends its term there. The round takes the time once, so that no lease is granted from a later time than the one that was checked (by reading; no test can pause the process between the two readings).

--- a/src/work/owner_loop/mod.rs
+++ b/src/work/owner_loop/mod.rs
@@ -7,6 +7,7 @@
 
 mod job_rows;
 mod jobs_item;
+mod orders;
 mod ownership;
 mod report_sink;
 mod writer;
@@ -22,7 +23,7 @@
 use crate::work::follow::StreamFollower;
 use crate::work::group_commit::PendingRecord;
 use crate::work::host_context::{HostContext, host_time, steady_ms};
-use crate::work::owner::{PoolOwner, RowBatch, UpstreamOrder};
+use crate::work::owner::{PoolOwner, RowBatch};
 use crate::work::owner_election::should_step_down;
 use crate::work::owner_loop::job_rows::JobRows;
 use crate::work::owner_loop::jobs_item::JobsItem;
@@ -171,6 +172,8 @@
 
     /// Runs one round of planning, orders and recording, unless the term has ended.
     fn tick(&self) {
+        // One reading for all: what is granted below must not be later than what is checked here.
+        let now = host_time();
         let replaced = {
             let jobs_view = self.context.jobs_view.borrow();
             jobs_view
@@ -178,7 +181,7 @@
                 .as_ref()
                 .is_some_and(|row| row.record.term > self.term)
         };
-        if replaced || self.ownership.has_run_out(steady_ms()) {
+        if replaced || self.ownership.has_run_out(now.steady_ms) {
             self.end(match replaced {
                 true => "another host owns the pool under a later term",
                 false => UNCONFIRMED,
@@ -194,15 +197,13 @@
             return;
         }
         let orders = self.with_owner(|owner| {
-            owner.tick(host_time());
+            owner.tick(now);
             (owner.take_orders(), owner.is_superseded())
         });
         let Some((orders, superseded)) = orders else {
             return;
         };
-        for order in orders {
-            tokio::task::spawn_local(self.clone().execute_order(order));
-        }
+        self.send_orders(orders);
         if superseded {
             self.end("an upstream has accepted a higher fencing token");
             return;
@@ -366,23 +367,6 @@
         }
     }
 
-    async fn execute_order(self, order: UpstreamOrder) {
-        match order {
-            UpstreamOrder::Start(order) => {
-                let outcome = self.context.orders.start(&order).await;
-                self.update_owner(|owner| owner.on_started(&order, outcome));
-            }
-            UpstreamOrder::Stop(order) => {
-                let result = self.context.orders.stop(&order).await;
-                self.update_owner(|owner| owner.on_stopped(&order, result));
-            }
-            UpstreamOrder::Renew(order) => {
-                let result = self.context.orders.renew(&order).await;
-                self.update_owner(|owner| owner.on_renewed(&order, result));
-            }
-        }
-    }
-
     fn update_owner(&self, act: impl FnOnce(&mut PoolOwner)) {
         let updated = self.with_owner(|owner| {
             owner.set_time(host_time());
--- a/tests/paused_owner.rs
+++ b/tests/paused_owner.rs
@@ -147,7 +147,7 @@
     encode_run_row(&name("a"), &row)
 }
 
-/// A store with a configuration, two upstreams and a job of two tasks, one on each of them.
+/// A store with a configuration, three upstreams and a job of two tasks on two of them.
 fn store_with_work() -> MemoryStore {
     let store = MemoryStore::default();
     let entry = |key: &str| KeyedValue {
@@ -157,6 +157,7 @@
     store.put(StreamName::Config, entry("config"));
     store.put(StreamName::Upstreams, entry("u1"));
     store.put(StreamName::Upstreams, entry("u2"));
+    store.put(StreamName::Upstreams, entry("u3"));
     store.put(StreamName::Jobs, KeyedValue::from(&job(2)));
     store.put(StreamName::Runs, run_row(&["u1", "u2"]));
     store
@@ -246,3 +247,21 @@
     assert_all_in_time(&orders, case.name);
     assert_eq!(!orders.sent().is_empty(), case.acts, "{}", case.name);
 }
+
+/// Guards against duplicate runs: an order that was decided before the process was paused went out
+/// after its waking, when the owner was one no longer.
+#[test]
+fn no_order_goes_out_after_a_pause_that_outlasts_the_ownership() {
+    for pause_ms in [0, LATE_MS] {
+        run_local(async move {
+            let store = store_with_work();
+            let orders = OrderLog::new(store.clone());
+            // Both upstreams get an order in the first round; the pause is between the two.
+            orders.pause_process_at_next_order(pause_ms);
+            start_host(&store, &orders).await;
+            pause(OBSERVED_MS - pause_ms).await;
+            assert!(!orders.sent().is_empty(), "pause of {pause_ms} ms");
+            assert_all_in_time(&orders, &format!("pause of {pause_ms} ms"));
+        });
+    }
+}
