Give a claim up when a later owner has fenced the runs before they were listed

Callers saw a task run twice at once. A host that is paused between its fence and its listing of the runs reads the rows of an owner that has claimed the pool since. It took them for those of the owner before it, and until the ownership timeout after its fence it renewed the leases of, and repeated the starts on, upstreams that its successor alone had chosen. The successor waits for leases of earlier owners only where it restored runs, not where it has placed them itself; if such an upstream is reached by the paused host only, the run lives on while it is started elsewhere.

The record of the fence names the term and sorts after all rows, so that a listing reads it last. A listing with the fence of another term now ends the claim, without a further call.

Ruled out: a later owner that claims after the listing. Its rows are not known then, and what the paused host does to restored runs, the successor waits out.

--- a/src/work/claim.rs
+++ b/src/work/claim.rs
@@ -18,7 +18,8 @@
 
 /// Writer name shared by all owners; a later epoch of it fences earlier ones.
 const OWNER_WRITER: &str = "owner";
-/// Key of the record in the runs stream whose append fences the previous owner.
+/// Key of the record in the runs stream whose append fences the previous owner. It sorts after the
+/// rows of all jobs, whose ids are hexadecimal, so a listing reads it last.
 const FENCE_KEY: &str = "owner";
 
 /// Claims the pool, fences the previous owner and installs this host's `PoolOwner`. Returns the
@@ -64,7 +65,7 @@
     };
     let fenced_ms = steady_ms();
     context.call_store(&call).await.map_err(to_report)?;
-    let runs = list_runs(context).await.map_err(to_report)?;
+    let runs = list_runs(context, term).await.map_err(to_report)?;
     let reports = list_all(context, StreamName::Upstreams)
         .await
         .map_err(to_report)?;
@@ -113,14 +114,24 @@
     rows: Vec<RunRow>,
 }
 
-/// Returns the stored rows of tasks, sorted by job. Call it only after the fence: from then on
-/// only this host changes the stream.
+/// Returns the stored rows of tasks, sorted by job. Call it only after the fence of this term: from
+/// then on only this host changes the stream, until a later owner fences it.
+///
+/// # Errors
+///
+/// Returns `Fenced` if a later owner has, so that some of the rows may be its own.
 async fn list_runs<S: StorePort, O, R>(
     context: &HostContext<S, O, R>,
+    term: u64,
 ) -> Result<Vec<StoredRuns>, StoreFailure> {
     let mut runs: Vec<StoredRuns> = Vec::new();
+    let mut is_own = false;
     for record in list_all(context, StreamName::Runs).await? {
-        if record.entry.key == FENCE_KEY || record.entry.value.is_empty() {
+        if record.entry.key == FENCE_KEY {
+            is_own = record.entry.value == term.to_be_bytes();
+            continue;
+        }
+        if record.entry.value.is_empty() {
             continue;
         }
         match decode_run_row(&record.entry) {
@@ -133,7 +144,10 @@
     for stored in &mut runs {
         stored.rows.sort_by_key(|row| row.number);
     }
-    Ok(runs)
+    match is_own {
+        true => Ok(runs),
+        false => Err(StoreFailure::Fenced),
+    }
 }
 
 fn add_row(runs: &mut Vec<StoredRuns>, job: ObjectName, row: RunRow) {
--- a/tests/paused_owner.rs
+++ b/tests/paused_owner.rs
@@ -12,9 +12,11 @@
 use hemlockramp::work::host::EntryHost;
 use hemlockramp::work::host_context::HostIdentity;
 use hemlockramp::work::owner::OwnerTiming;
+use hemlockramp::work::owner_election::next_term;
 use hemlockramp::work::ports::RecordReader;
 use hemlockramp::work::record::{
-    AssignmentRecord, JobRecord, RunRecord, RunRow, UnitRecord, WorkRecord, encode_run_row,
+    AssignmentRecord, JobRecord, OwnerRecord, RunRecord, RunRow, UnitRecord, WorkRecord,
+    encode_run_row,
 };
 use hemlockramp::work::spec::{StepSpec, WorkSpec};
 use hemlockramp::work::store_limits::StoreLimits;
@@ -30,6 +32,8 @@
 const OWNERSHIP_TIMEOUT_MS: u64 = 1_500;
 /// A delay that outlasts the ownership, in ms.
 const LATE_MS: u64 = 2_000;
+/// A delay that the ownership outlasts, in ms.
+const LISTING_MS: u64 = 600;
 /// Time for which a host is observed, in ms.
 const OBSERVED_MS: u64 = 5_000;
 /// Time from the host's check of its ownership to the log's note of an order, at most, in ms.
@@ -265,3 +269,63 @@
         });
     }
 }
+
+struct LaterOwnerCase {
+    name: &'static str,
+    /// Whether another host claims the pool before this one has listed the runs.
+    claimed: bool,
+}
+
+/// Guards against duplicate runs: a host that was paused while it claimed the pool took the rows of
+/// the owner after it for those of the owner before it, and renewed the leases of runs that its
+/// successor waited out.
+#[test]
+fn rows_of_a_later_owner_are_not_taken_over() {
+    let cases = [
+        LaterOwnerCase {
+            name: "no later owner",
+            claimed: false,
+        },
+        LaterOwnerCase {
+            name: "later owner",
+            claimed: true,
+        },
+    ];
+    run_local(async {
+        join_all(cases.map(check_later_owner)).await;
+    });
+}
+
+async fn check_later_owner(case: LaterOwnerCase) {
+    let store = store_with_work();
+    store.delay_listings(StreamName::Runs, LISTING_MS);
+    let orders = OrderLog::new(store.clone());
+    start_host(&store, &orders).await;
+    while store.epoch(StreamName::Runs) == 0 {
+        pause(10).await;
+    }
+    if case.claimed {
+        // The host has not read yet that another one owns the pool.
+        store.hold_jobs_reads();
+        claim_as_other_host(&store);
+    }
+    pause(OBSERVED_MS).await;
+    let sent = orders.sent();
+    assert_eq!(sent.is_empty(), case.claimed, "{}: {sent:?}", case.name);
+}
+
+/// Claims the pool under the next term and stores that the job's second task is on another upstream.
+fn claim_as_other_host(store: &MemoryStore) {
+    let term = next_term(store.epoch(StreamName::Runs), 0);
+    let owner = WorkRecord::Owner(OwnerRecord {
+        host: name("other"),
+        term,
+        released: false,
+    });
+    let fence = KeyedValue {
+        key: "owner".to_owned(),
+        value: term.to_be_bytes().to_vec(),
+    };
+    store.put_as_owner(StreamName::Jobs, term, &[KeyedValue::from(&owner)]);
+    store.put_as_owner(StreamName::Runs, term, &[fence, run_row(&["u1", "u3"])]);
+}
