Drop a start whose upstream has restarted while it waited for its record

A start keeps the fencing token of its upstream's life at placement while its record is stored. If the upstream restarts meanwhile, the owner raises the token for it; the start still went out with the old one. The new life runs what was meant for the earlier one, or refuses the token and the owner gives the pool up.

Such a start is now dropped before it is sent, and its unit is placed anew.

--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod cancel;
 mod crashes;
+mod fencing;
 pub mod job_state;
 mod placement_pool;
 pub mod planning;
--- a/src/work/owner/renewals.rs
+++ b/src/work/owner/renewals.rs
@@ -189,14 +189,16 @@
         }
     }
 
-    /// Sends a start whose record is in the store, unless the run is no longer wanted.
+    /// Sends a start whose record is in the store, unless the run is no longer wanted or its upstream
+    /// has begun a later life since.
     pub(super) fn release_start(&mut self, mut order: StartOrder) {
         let Some((job, unit, member)) = self.find_member(order.task_key()) else {
             return;
         };
         let index = self.upstream_index(&order.target.upstream);
         let silent = index.is_some_and(|index| self.upstreams[index].missed_renewals > 0);
-        if silent || self.jobs[job].units[unit].phase != UnitPhase::Active {
+        let outdated = !self.has_newest_token(&order.target);
+        if silent || outdated || self.jobs[job].units[unit].phase != UnitPhase::Active {
             // The start order has not been sent.
             self.clear_member(job, unit, member);
             self.stop_unit(job, unit);
