End a term only when an upstream refuses the owner's newest token

After a restart of an upstream the owner raises its own token for it. An order with the older token that is still on its way is then refused, and the owner took that for the proof of a later owner and gave the pool up.

A refusal now ends the term only if the order carried the owner's newest token for that upstream.

--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -56,7 +56,7 @@
                     job = task.job.as_str(), task:% = task, run = order.run, upstream,
                     refusal:? = refusal; "owner: a start was refused."
                 );
-                self.on_refused(job, unit, member, refusal);
+                self.on_refused(order, job, unit, member, refusal);
             }
             StartOutcome::Unknown => {
                 log::info!(
@@ -70,7 +70,14 @@
         }
     }
 
-    fn on_refused(&mut self, job: usize, unit: usize, member: usize, refusal: StartRefusal) {
+    fn on_refused(
+        &mut self,
+        order: &StartOrder,
+        job: usize,
+        unit: usize,
+        member: usize,
+        refusal: StartRefusal,
+    ) {
         let now_ms = self.now.steady_ms;
         let state = &self.jobs[job].units[unit].members[member];
         let Some(name) = state.upstream.clone() else {
@@ -78,7 +85,7 @@
         };
         let unsure = state.start_unconfirmed;
         match refusal {
-            StartRefusal::Fenced => self.superseded = true,
+            StartRefusal::Fenced => self.on_start_fenced(order, job, unit, member),
             // An earlier copy of the order may have started the run, or may still do so.
             StartRefusal::Late | StartRefusal::Rejected if unsure => self.stop_unit(job, unit),
             StartRefusal::Room | StartRefusal::Unwell if unsure => self.stop_unit(job, unit),
@@ -119,7 +126,7 @@
                 let name = order.target.upstream.clone();
                 self.renew_soon(&name);
             }
-            Err(OrderFailure::Fenced) => self.superseded = true,
+            Err(OrderFailure::Fenced) => self.on_fence(&order.target),
             Err(_) => {}
         }
     }
@@ -157,7 +164,7 @@
             // the previous one may still arrive after it.
             Ok(_) if token != Some(order.target.fencing_token) => {}
             Ok(reply) => self.reconcile(index, reply),
-            Err(OrderFailure::Fenced) => self.superseded = true,
+            Err(OrderFailure::Fenced) => self.on_fence(&order.target),
             Err(failure) => self.on_missed_renewal(index, failure),
         }
     }
