--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod cancel;
 mod crashes;
+mod fencing;
 pub mod job_state;
 mod loss_proof;
 mod placement_pool;
