--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod cancel;
 mod crashes;
+mod ends;
 mod fencing;
 pub mod job_state;
 mod loss_proof;
--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -1,27 +1,16 @@
 //! Handling of upstreams' answers to start, stop and renewal orders.
 
-use std::sync::Arc;
-
 use crate::tables::name::ObjectName;
 use crate::work::clock::ClockReading;
-use crate::work::owner::job_state::{MemberPhase, StopProgress, UnitPhase};
-use crate::work::owner::renewals::UNRECORDED_RENEW_PAUSE_MS;
+use crate::work::owner::job_state::{MemberPhase, StopProgress};
 use crate::work::owner::{PoolOwner, UpstreamOrder};
 use crate::work::record::JobPhase;
 use crate::work::task_ref::TaskRef;
 use crate::work::upstream::{
-    EndKind, EndedTask, OrderFailure, RenewOrder, RenewReply, RunningTask, StartOrder,
-    StartOutcome, StartRefusal, StopOrder,
+    OrderFailure, RenewOrder, RenewReply, RunningTask, StartOrder, StartOutcome, StartRefusal,
+    StopOrder,
 };
 
-/// Added to an upstream's failure score for each failed run.
-const FAILURE_SCORE: f64 = 1.0;
-/// Failure score at which an upstream is quarantined.
-const QUARANTINE_SCORE: f64 = 2.0;
-/// How long a quarantined upstream gets no new work, in ms.
-const QUARANTINE_MS: u64 = 8_000;
-/// Factor applied to an upstream's failure score for each completed run.
-const FAILURE_SCORE_DECAY: f64 = 0.3;
 /// How long an upstream that refused a start gets no new work, in ms.
 const REFUSAL_QUARANTINE_MS: u64 = 2_000;
 
@@ -251,103 +240,6 @@
         self.reconcile_missing(&name, &reply);
     }
 
-    fn reconcile_ended(&mut self, index: usize, ended: &[EndedTask]) {
-        let name = self.upstreams[index].name.clone();
-        let seen = self.upstreams[index].seen_end;
-        let mut new_ends: Vec<&EndedTask> = ended.iter().filter(|end| end.number > seen).collect();
-        new_ends.sort_by_key(|end| end.number);
-        for end in &new_ends {
-            self.on_end(&name, end);
-        }
-        let batch = self.batch;
-        let upstream = &mut self.upstreams[index];
-        if let Some(last) = new_ends.last() {
-            upstream.seen_end = last.number;
-            upstream.end_batch = Some(batch);
-        }
-        if upstream.end_batch.is_some() {
-            upstream.next_renewal_ms = self.now.steady_ms + UNRECORDED_RENEW_PAUSE_MS;
-        }
-    }
-
-    fn on_end(&mut self, name: &ObjectName, end: &EndedTask) {
-        let found = self.find_member((&end.task, end.run, name));
-        log::info!(
-            job = end.task.job.as_str(), task:% = end.task, run = end.run,
-            upstream = name.as_str(), how:? = end.kind, number = end.number,
-            current = found.is_some(); "owner: a run has ended."
-        );
-        let how = end_label(end.kind);
-        metrics::counter!("hemlockramp_runs_ended_total", "how" => how).increment(1);
-        let Some((job, unit, member)) = found else {
-            metrics::counter!("hemlockramp_stray_ends_total", "how" => how).increment(1);
-            return;
-        };
-        let lasting = self.jobs[job].step(unit).lasting;
-        self.keep_checkpoint(job, unit, &end.checkpoint);
-        self.clear_member(job, unit, member);
-        match end.kind {
-            EndKind::Done if !lasting => self.on_done(job, unit, name),
-            EndKind::Failed => self.on_failed(job, unit, name),
-            _ => self.stop_unit(job, unit),
-        }
-    }
-
-    /// Keeps a unit's newest checkpoint. One that is too long to be stored is left out, and the unit
-    /// would resume from the one before.
-    pub(super) fn keep_checkpoint(&mut self, job: usize, unit: usize, checkpoint: &Arc<str>) {
-        if checkpoint.is_empty() {
-            return;
-        }
-        let bytes_max = self.timing.checkpoint_max_bytes;
-        if checkpoint.len() > bytes_max {
-            log::debug!(
-                job = self.jobs[job].id.as_str(), unit, bytes = checkpoint.len(), bytes_max;
-                "owner: a checkpoint is too long to be kept."
-            );
-            return;
-        }
-        self.jobs[job].units[unit].checkpoint = Arc::clone(checkpoint);
-    }
-
-    fn on_done(&mut self, job: usize, unit: usize, name: &ObjectName) {
-        if let Some(index) = self.upstream_index(name) {
-            self.upstreams[index].failure_score *= FAILURE_SCORE_DECAY;
-        }
-        let state = &mut self.jobs[job].units[unit];
-        state.phase = UnitPhase::Done;
-        if self.jobs[job].is_done() {
-            self.set_phase(job, JobPhase::Completed);
-        }
-        self.placement_due = true;
-    }
-
-    fn on_failed(&mut self, job: usize, unit: usize, name: &ObjectName) {
-        let now_ms = self.now.steady_ms;
-        if let Some(index) = self.upstream_index(name) {
-            let upstream = &mut self.upstreams[index];
-            upstream.failure_score += FAILURE_SCORE;
-            if upstream.failure_score >= QUARANTINE_SCORE {
-                upstream.quarantined_until_ms = now_ms + QUARANTINE_MS;
-                log::warn!(
-                    upstream = name.as_str(), failures = upstream.failure_score,
-                    for_ms = QUARANTINE_MS;
-                    "owner: an upstream is quarantined after failed runs."
-                );
-            }
-        }
-        let attempts_max = self.rule(job).attempts_max;
-        let lasting = self.jobs[job].step(unit).lasting;
-        let state = &mut self.jobs[job].units[unit];
-        state.count_failed_run();
-        state.failed_on.push(name.clone());
-        let failed = state.failed;
-        if failed >= attempts_max && !lasting && state.phase != UnitPhase::Done {
-            self.set_phase(job, JobPhase::Failed);
-        }
-        self.stop_unit(job, unit);
-    }
-
     /// Returns the number of a task's newest run and the upstream that it is on, for the logs; 0 and
     /// "" if there is none.
     fn current_run(&self, task: &TaskRef) -> (u32, &str) {
@@ -386,14 +278,3 @@
         (&self.task, self.run, &self.target.upstream)
     }
 }
-
-fn end_label(kind: EndKind) -> &'static str {
-    match kind {
-        EndKind::Done => "done",
-        EndKind::Failed => "failed",
-        EndKind::Stopped => "stopped",
-        EndKind::Lapsed => "lapsed",
-        EndKind::Broken => "broken",
-        EndKind::Alone => "alone",
-    }
-}
