Give up a run of an earlier life only by two answers of the later one

Callers could see work run twice. A later life under an upstream's name counted as proof by its first answer. A start that was meant for the life before may have reached it before the owner knew of it, and such a run may begin or end while the answer is written, or be stopped. And the stored row of a run named the life at placement, so that a new owner took the very life that ran it for a later one.

Now two answers in a row must lack the run; for a run that an earlier owner began, or that was told to stop, a whole stop lies between them. No start is repeated to a later life, and a row is written again when a run shows in another life than it names.

The simulation now also finds a start between a successful end and its acknowledgement, as the rule asks; so far it found only starts after it.

--- a/src/work/owner/job_state.rs
+++ b/src/work/owner/job_state.rs
@@ -74,8 +74,10 @@
     pub phase: MemberPhase,
     /// The member's upstream; `None` if unplaced.
     pub upstream: Option<ObjectName>,
-    /// Incarnation of the upstream when the member was placed.
+    /// Incarnation of the upstream when the member was placed or last listed as running.
     pub incarnation: u64,
+    /// Whether the run began under an earlier owner, whose orders to it are not all known.
+    pub restored: bool,
     /// The upstream's clock when it last confirmed the run or took its stop, in ms; 0 for never.
     pub confirmed_ms: u64,
     /// Number of renewals that had been sent to the upstream by then; `None` for never. Only the answer
--- a/src/work/owner/reconcile.rs
+++ b/src/work/owner/reconcile.rs
@@ -27,8 +27,8 @@
             };
             self.keep_checkpoint(job, unit, &running.checkpoint);
             self.confirm_member(job, unit, member, reply.clock_ms);
+            self.note_life(job, unit, member, incarnation);
             let state = &mut self.jobs[job].units[unit].members[member];
-            state.incarnation = incarnation;
             state.percent = running.percent;
             state.reported_ms = now_ms;
             let start_time_unknown = state.began_ms == 0;
@@ -44,6 +44,16 @@
         }
     }
 
+    /// Notes in which life of its upstream a member runs: a start may reach a later one than it was meant
+    /// for. The stored row must name that life, or a later owner would take the run to be over.
+    fn note_life(&mut self, job: usize, unit: usize, member: usize, incarnation: u64) {
+        let state = &mut self.jobs[job].units[unit].members[member];
+        if state.incarnation != incarnation {
+            state.incarnation = incarnation;
+            self.jobs[job].rows.mark_member(unit, member);
+        }
+    }
+
     fn sample_slowdown(&mut self, name: &ObjectName, job: usize, unit: usize) {
         let Some(own) = self.jobs[job].units[unit].progress() else {
             return;
@@ -84,19 +94,18 @@
 
     /// Gives up a run that an answer lacks, unless a stop may still be in progress.
     fn on_unlisted_run(&mut self, index: usize, job: usize, held: &HeldTask, proof: LossProof) {
-        // No order of the earlier life is carried out after the later one has seen a newer token.
-        if proof == LossProof::LaterLife {
-            self.member_lost(job, held.unit, held.member, proof);
-            return;
-        }
         let now_ms = self.now.steady_ms;
         let state = &mut self.jobs[job].units[held.unit].members[held.member];
         let seen_before = state.unlisted_since_ms.is_some();
-        let mut since_ms = *state.unlisted_since_ms.get_or_insert(now_ms);
-        if let StopProgress::Answered { at_ms } = state.stop {
-            since_ms = since_ms.max(at_ms);
-        }
-        let recheck_ms = since_ms + drift_safe_wait_ms(self.timing.stop_ms);
+        let since_ms = *state.unlisted_since_ms.get_or_insert(now_ms);
+        let stop_ms = drift_safe_wait_ms(self.timing.stop_ms);
+        // A later life carries out no order of the one before once it has answered, so it can only be
+        // stopping what it was told to stop. Of a restored run that is not known.
+        let recheck_ms = match (state.stop, proof) {
+            (StopProgress::Answered { at_ms }, _) => since_ms.max(at_ms) + stop_ms,
+            (_, LossProof::LaterLife) if !state.restored => since_ms,
+            _ => since_ms + stop_ms,
+        };
         let upstream = &mut self.upstreams[index];
         if seen_before && upstream.renewal_sent_ms >= recheck_ms {
             self.member_lost(job, held.unit, held.member, proof);
@@ -127,14 +136,14 @@
         if listed {
             return None;
         }
-        if state.incarnation != 0 && state.incarnation < upstream.incarnation {
+        if state.in_flight || state.stop == StopProgress::Sent {
+            return None;
+        }
+        if state.incarnation != 0 && state.incarnation != upstream.incarnation {
             return Some(LossProof::LaterLife);
         }
         let known = state.phase == MemberPhase::Running || unit.phase != UnitPhase::Active;
-        let settled = known
-            && !state.start_unconfirmed
-            && !state.in_flight
-            && state.stop != StopProgress::Sent;
+        let settled = known && !state.start_unconfirmed;
         let asked_after = state
             .confirmed_at_renewal
             .is_some_and(|renewal| renewal < upstream.renewals);
--- a/src/work/owner/renewals.rs
+++ b/src/work/owner/renewals.rs
@@ -167,8 +167,12 @@
         };
         let upstream = &mut self.upstreams[index];
         // After a change of owner, the upstream must answer a renewal before a start is repeated. A
-        // silent upstream gets no new lease: those that it has must expire.
-        if !awaits_record && (!upstream.reconciled || upstream.missed_renewals > 0) {
+        // silent upstream gets no new lease: those that it has must expire. A later life gets no
+        // start that was meant for the one before.
+        let placed_in = state.members[member].incarnation;
+        let same_life = placed_in == 0 || placed_in == upstream.incarnation;
+        let may_repeat = upstream.reconciled && upstream.missed_renewals == 0 && same_life;
+        if !awaits_record && !may_repeat {
             return;
         }
         let Some(target) = upstream.target(self.term) else {
--- a/src/work/owner/task_rows.rs
+++ b/src/work/owner/task_rows.rs
@@ -207,6 +207,7 @@
         if let Some(member) = unit.members.get_mut(place.member as usize) {
             member.phase = MemberPhase::Sent;
             member.start_unconfirmed = true;
+            member.restored = true;
             member.upstream = Some(place.upstream.clone());
             member.incarnation = place.incarnation;
         }
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -177,6 +177,18 @@
     running: Vec<ObjectName>,
     done_recorded: bool,
     starts: u32,
+    /// Successful ends that are not acknowledged yet.
+    open_ends: Vec<OpenEnd>,
+}
+
+/// A successful end that is not acknowledged yet.
+#[derive(Clone, Debug)]
+struct OpenEnd {
+    upstream: ObjectName,
+    incarnation: u64,
+    number: u64,
+    /// Number of starts of the task before the end.
+    starts: u32,
 }
 
 pub struct PoolSim {
@@ -880,12 +892,24 @@
             |end: &&EndedTask| end.kind == EndKind::Done && end.number > discarded_up_to;
         for end in recorded.iter().filter(is_recorded_end) {
             let task = end.task.to_string();
-            if let Some(history) = self
+            let upstream = &self.upstreams[index];
+            let started_since = self
                 .histories
                 .iter_mut()
                 .find(|history| history.task == task)
-            {
-                history.done_recorded = true;
+                .is_some_and(|history| {
+                    history.done_recorded = true;
+                    history.open_ends.iter().any(|open| {
+                        open.upstream == upstream.name
+                            && open.incarnation == upstream.incarnation
+                            && open.number == end.number
+                            && open.starts < history.starts
+                    })
+                });
+            if started_since {
+                self.violations.push(format!(
+                    "{task} started between its end and the acknowledgement"
+                ));
             }
             self.add_trace(format!(
                 "{task} is recorded by {}",
@@ -939,7 +963,18 @@
             checkpoint: Arc::from(""),
         });
         let name = upstream.name.clone();
+        let (incarnation, number) = (upstream.incarnation, upstream.last_end);
         self.remove_running(&run.task, &name);
+        if kind == EndKind::Done && !self.spec_step(&run.order).lasting {
+            let history = self.histories.iter_mut().find(|one| one.task == run.task);
+            let history = history.expect("a history of the task");
+            history.open_ends.push(OpenEnd {
+                upstream: name,
+                incarnation,
+                number,
+                starts: history.starts,
+            });
+        }
     }
 
     fn remove_running(&mut self, task: &str, upstream: &ObjectName) {
