Wait for the longest lease that an order may have granted

Callers could see work run twice: an upstream restarts, its clock anew, and an order for the life before reaches it before the owner knows. The end of the lease, set on the old clock, is far ahead of the new one, and the upstream takes the longest lease. If it is cut off then, the owner waited for the lease that it had meant to grant. It now always waits for the longest one.

Cost: work on an upstream that falls silent waits a tenth of the longest lease more (0.6 s of 6 s).

--- a/src/work/owner/renewals.rs
+++ b/src/work/owner/renewals.rs
@@ -83,7 +83,7 @@
             };
             // The leases of a silent upstream must expire; it is only probed.
             let lease_until_ms = match upstream.missed_renewals {
-                0 => upstream.grant_lease(now_ms, self.timing.lease_ms),
+                0 => upstream.grant_lease(now_ms, &self.timing),
                 _ => None,
             };
             upstream.renewing = true;
@@ -178,7 +178,7 @@
         let Some(target) = upstream.target(self.term) else {
             return;
         };
-        let Some(lease_until_ms) = upstream.grant_lease(now_ms, self.timing.lease_ms) else {
+        let Some(lease_until_ms) = upstream.grant_lease(now_ms, &self.timing) else {
             return;
         };
         let order = StartOrder {
@@ -216,8 +216,8 @@
             return;
         }
         let now_ms = self.now.steady_ms;
-        let lease_ms = self.timing.lease_ms;
-        let lease = index.and_then(|index| self.upstreams[index].grant_lease(now_ms, lease_ms));
+        let timing = self.timing;
+        let lease = index.and_then(|index| self.upstreams[index].grant_lease(now_ms, &timing));
         // Recording may have taken long, so the lease starts now.
         order.lease_until_ms = lease.unwrap_or(order.lease_until_ms);
         self.jobs[job].units[unit].members[member].last_order_ms = now_ms;
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -6,6 +6,7 @@
 use crate::work::amount::ResourceAmount;
 use crate::work::clock::{ClockReading, drift_safe_wait_ms};
 use crate::work::crash_record::UpstreamLife;
+use crate::work::owner::OwnerTiming;
 use crate::work::placement::CapacityClaim;
 use crate::work::slowdown::UpstreamSlowdown;
 use crate::work::upstream::{OrderTarget, UpstreamReport};
@@ -169,11 +170,13 @@
 
     /// Grants a lease from now on. Returns its end on the upstream's clock, or `None` if the clock
     /// is not known.
-    pub fn grant_lease(&mut self, now_ms: u64, lease_ms: u64) -> Option<u64> {
+    ///
+    /// The order may reach a later life, which counts its clock anew and takes the end of the lease for
+    /// the longest one. Until then the owner waits.
+    pub fn grant_lease(&mut self, now_ms: u64, timing: &OwnerTiming) -> Option<u64> {
         let clock = self.clock?;
-        let leases_expire_ms = now_ms + drift_safe_wait_ms(lease_ms) + LEASE_EXPIRY_MARGIN_MS;
-        self.leases_expire_ms = self.leases_expire_ms.max(leases_expire_ms);
-        Some(clock.lower_bound_ms(now_ms) + lease_ms)
+        self.allow_for_misdirected_leases(now_ms, timing.lease_max_ms);
+        Some(clock.lower_bound_ms(now_ms) + timing.lease_ms)
     }
 
     /// Allows for leases from orders that were meant for the previous incarnation. Their ends were
--- a/tests/later_lives.rs
+++ b/tests/later_lives.rs
@@ -6,7 +6,7 @@
 use hemlockramp::work::record::JobPhase;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use support::pool_sim::{Listing, PoolSim, step};
+use support::pool_sim::{FaultRates, Listing, PoolSim, step};
 
 const SEED: u64 = 7;
 /// Time between two reports of an upstream, in ms.
@@ -33,6 +33,16 @@
     }
 }
 
+fn run_until_started(pool: &mut PoolSim, task: &str) {
+    for _ in 0..100 {
+        if pool.running(task).is_some() {
+            return;
+        }
+        pool.step();
+    }
+    panic!("{task} does not start");
+}
+
 /// Guards against duplicate runs: an order for an earlier life was carried out by the later one, the run
 /// ended while the later life's first answer was written, and the later life counted as proof at once.
 #[test]
@@ -61,6 +71,34 @@
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
+/// Guards against duplicate runs: a life that the owner does not know of takes an order's lease end, set
+/// on the clock of the life before, for the longest lease, and is cut off before it is known.
+#[test]
+fn longest_lease_of_an_unknown_later_life_is_waited_for() {
+    let mut pool = pool(2);
+    pool.run_for(5_000);
+    run_to_report(&mut pool);
+    pool.crash(0, true);
+    pool.crash(1, true);
+    pool.fault_rates = FaultRates {
+        response_lost: 1_000,
+        order_delayed: 0,
+    };
+    pool.submit("a", "plain", vec![step(1, 60_000, 8, false)]);
+    run_until_started(&mut pool, "a.0.0.0");
+    let first = pool.running("a.0.0.0").expect("the task runs");
+    let index = pool.upstreams.iter().position(|one| one.name == first);
+    pool.upstreams[index.expect("an upstream")].unreachable_until_ms = pool.now_ms + 20_000;
+    pool.fault_rates = FaultRates::default();
+    pool.run_for(15_000);
+    let trace = pool.trace_of("a.0.0.0");
+    assert!(
+        pool.violations.is_empty(),
+        "{:?}: {trace:#?}",
+        pool.violations
+    );
+}
+
 /// Guards against an owner that gives the pool up for a token of its own: an order with the token for an
 /// upstream's earlier life arrives after a renewal with the one for its later life.
 #[test]
