Tell a later life by its clock where it was born earlier

Callers saw nothing of this yet; found in a review. The order of two lives of an upstream was read from their times of birth alone, which are of a wall clock. If that was set back between the two, all that the later life said was ignored, its leases were renewed on and on, and its work never ran again.

An answer of a life that was born earlier but counts a smaller clock than the known one is now taken for a later life: each life counts its clock anew. An answer of a life that is earlier by both is ignored, and asked for again after a pause.

--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -205,10 +205,12 @@
             arrived_ms: now_ms,
         };
         let incarnation = self.upstreams[index].incarnation;
-        if reply.incarnation != 0 && reply.incarnation < incarnation {
+        let born_earlier = reply.incarnation != 0 && reply.incarnation < incarnation;
+        if born_earlier && !self.upstreams[index].started_later(reading) {
+            self.renew_later(index);
             return;
         }
-        if reply.incarnation > incarnation {
+        if born_earlier || reply.incarnation > incarnation {
             self.on_restart(&name, reply.incarnation, reading);
             if incarnation != 0 {
                 // This renewal still carried the old fencing token.
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -179,6 +179,13 @@
         Some(clock.lower_bound_ms(now_ms) + timing.lease_ms)
     }
 
+    /// Returns whether a reading is of a life that started after the known one: each life counts its clock
+    /// anew. Times of birth are of a wall clock, which may have been set back between two lives.
+    pub fn started_later(&self, reading: ClockReading) -> bool {
+        self.clock
+            .is_some_and(|known| reading.shown_ms < known.lower_bound_ms(reading.arrived_ms))
+    }
+
     /// Allows for leases from orders that were meant for the previous incarnation. Their ends were
     /// set on its clock, so the new incarnation may take them for the longest lease.
     pub fn allow_for_misdirected_leases(&mut self, now_ms: u64, lease_max_ms: u64) {
--- a/tests/later_lives.rs
+++ b/tests/later_lives.rs
@@ -99,6 +99,26 @@
     );
 }
 
+/// Guards against work that never ends: an upstream's wall clock stepped back between two of its lives,
+/// so that the later one was born earlier, and all that it said was ignored.
+#[test]
+fn work_of_an_upstream_whose_later_life_was_born_earlier_is_started_again() {
+    let mut pool = pool(2);
+    pool.upstreams[0].incarnation = 10_000;
+    pool.upstreams[1].incarnation = 10_000;
+    pool.run_for(1_000);
+    pool.submit("a", "plain", vec![step(1, 3_000, 8, false)]);
+    pool.run_for(1_000);
+    let first = pool.running("a.0.0.0").expect("the task runs");
+    let index = pool.upstreams.iter().position(|one| one.name == first);
+    let index = index.expect("an upstream");
+    pool.crash(index, true);
+    pool.upstreams[index].incarnation = 8_000;
+    pool.run_for(60_000);
+    let trace = pool.trace_of("a.0.0.0");
+    assert_eq!(pool.phase("a"), JobPhase::Completed, "{trace:#?}");
+}
+
 /// Guards against an owner that gives the pool up for a token of its own: an order with the token for an
 /// upstream's earlier life arrives after a renewal with the one for its later life.
 #[test]
