Keep an append uncertain that got no answer before it was fenced by the other path

Suspected by reading, shown by a test: an append goes out by one path and gets no answer, though it may have been applied. By the other path it is refused, as a later owner has fenced its writer by then. The refusal won, so a caller whose job was stored could be told that it was not. For the condition on the end of the stream this was handled already, but only for the first path followed by the second, not for two peers in turn.

A refusal by fence or by the end of the stream no longer hides an earlier attempt without an answer.

Evidence: append_without_an_answer_stays_uncertain failed before (no answer, then fenced: the caller was told Fenced) and passes.

--- a/src/work/relay.rs
+++ b/src/work/relay.rs
@@ -139,7 +139,7 @@
                     self.peers.mark_failed(&peer);
                     last = last.less_certain(failure);
                 }
-                other => return other,
+                other => return after_attempt(last, other),
             }
         }
         Err(last)
@@ -236,11 +236,21 @@
         };
         match second {
             Err(failure) if failure.is_transient() => Err(before.less_certain(failure)),
-            // The first attempt may have been applied and moved the end of the stream itself.
-            Err(StoreFailure::Conflict) if matches!(before, StoreFailure::Unknown(_)) => {
-                Err(before)
-            }
-            other => other,
+            other => after_attempt(before, other),
+        }
+    }
+}
+
+/// Returns the result of a call of which an earlier attempt failed. If that one is without an answer,
+/// it may have been applied, and have moved the end of the stream itself or come before the fence.
+fn after_attempt(
+    before: StoreFailure,
+    result: Result<StoreReply, StoreFailure>,
+) -> Result<StoreReply, StoreFailure> {
+    match (&before, &result) {
+        (StoreFailure::Unknown(_), Err(StoreFailure::Conflict | StoreFailure::Fenced)) => {
+            Err(before)
         }
+        _ => result,
     }
 }
