Read the jobs again after the runs are listed, before a claim is acted on

A new owner read the jobs before it fenced the stream of runs. Until that fence the earlier owner could place a job accepted in between. The new owner listed the rows of that job but did not know the job, so it passed the rows over; once it read the job it took it for one that nobody had started, and started run 1 again elsewhere. The window is that of one call to the store, seconds with a slow store or a paused process.

The jobs are now read again after the listing: what the earlier owner placed, it had read from the stream or had stored there before.

Evidence: job_placed_while_the_pool_was_claimed_is_not_started_again failed before (the fence held back by 600 ms: the new owner started the task on u3 while its row named u2) and passes; its other case shows that the job is started if nobody has placed it. Each claim costs one more read.

--- a/src/work/claim.rs
+++ b/src/work/claim.rs
@@ -66,6 +66,8 @@
     let fenced_ms = steady_ms();
     context.call_store(&call).await.map_err(to_report)?;
     let runs = list_runs(context, term).await.map_err(to_report)?;
+    // Until its fence, the previous owner may have placed jobs that were accepted after the last read.
+    context.refresh_jobs().await.map_err(to_report)?;
     let reports = list_all(context, StreamName::Upstreams)
         .await
         .map_err(to_report)?;
--- a/tests/paused_owner.rs
+++ b/tests/paused_owner.rs
@@ -22,7 +22,7 @@
 use hemlockramp::work::store_limits::StoreLimits;
 use hemlockramp::work::stream::{KeyedValue, StreamName};
 use hemlockramp::work::upstream::UpstreamReport;
-use support::memory_store::MemoryStore;
+use support::memory_store::{HeldReads, MemoryStore};
 use support::order_log::OrderLog;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
@@ -34,6 +34,8 @@
 const LATE_MS: u64 = 2_000;
 /// A delay that the ownership outlasts, in ms.
 const LISTING_MS: u64 = 600;
+/// Term of an owner before all that claim the pool here.
+const EARLIER_TERM: u64 = 1;
 /// Time for which a host is observed, in ms.
 const OBSERVED_MS: u64 = 5_000;
 /// Time from the host's check of its ownership to the log's note of an order, at most, in ms.
@@ -99,7 +101,7 @@
 }
 
 /// A job of one step of `count` tasks.
-fn job(count: u32) -> WorkRecord {
+fn job(id: &str, count: u32) -> WorkRecord {
     let step = StepSpec {
         count,
         need: ResourceAmount {
@@ -128,11 +130,11 @@
             repeat: None,
         },
     };
-    WorkRecord::Job(name("a"), Box::new(record))
+    WorkRecord::Job(name(id), Box::new(record))
 }
 
-/// The stored row of the job's tasks, each of them on one upstream.
-fn run_row(upstreams: &[&str]) -> KeyedValue {
+/// The stored row of a job's tasks, each of them on one upstream.
+fn run_row(id: &str, upstreams: &[&str]) -> KeyedValue {
     let unit = |upstream: &&str| UnitRecord {
         run: 1,
         places: vec![AssignmentRecord {
@@ -148,7 +150,7 @@
             units: upstreams.iter().map(unit).collect(),
         },
     };
-    encode_run_row(&name("a"), &row)
+    encode_run_row(&name(id), &row)
 }
 
 /// A store with a configuration, three upstreams and a job of two tasks on two of them.
@@ -162,8 +164,8 @@
     store.put(StreamName::Upstreams, entry("u1"));
     store.put(StreamName::Upstreams, entry("u2"));
     store.put(StreamName::Upstreams, entry("u3"));
-    store.put(StreamName::Jobs, KeyedValue::from(&job(2)));
-    store.put(StreamName::Runs, run_row(&["u1", "u2"]));
+    store.put(StreamName::Jobs, KeyedValue::from(&job("a", 2)));
+    store.put(StreamName::Runs, run_row("a", &["u1", "u2"]));
     store
 }
 
@@ -306,7 +308,7 @@
     }
     if case.claimed {
         // The host has not read yet that another one owns the pool.
-        store.hold_jobs_reads();
+        store.hold_jobs_reads(HeldReads::All);
         claim_as_other_host(&store);
     }
     pause(OBSERVED_MS).await;
@@ -327,5 +329,60 @@
         value: term.to_be_bytes().to_vec(),
     };
     store.put_as_owner(StreamName::Jobs, term, &[KeyedValue::from(&owner)]);
-    store.put_as_owner(StreamName::Runs, term, &[fence, run_row(&["u1", "u3"])]);
+    store.put_as_owner(
+        StreamName::Runs,
+        term,
+        &[fence, run_row("a", &["u1", "u3"])],
+    );
+}
+
+struct LateJobCase {
+    name: &'static str,
+    /// Whether the earlier owner has placed the job when it is fenced.
+    placed: bool,
+}
+
+/// Guards against duplicate runs: the earlier owner placed a job that was accepted after the new one
+/// had read the jobs and before it had fenced the runs. The new owner passed over its rows, then took
+/// the job for one that nobody had started.
+#[test]
+fn job_placed_while_the_pool_was_claimed_is_not_started_again() {
+    let cases = [
+        LateJobCase {
+            name: "not placed",
+            placed: false,
+        },
+        LateJobCase {
+            name: "placed",
+            placed: true,
+        },
+    ];
+    run_local(async {
+        join_all(cases.map(check_late_job)).await;
+    });
+}
+
+async fn check_late_job(case: LateJobCase) {
+    let store = store_with_work();
+    store.delay_appends(StreamName::Runs, LISTING_MS);
+    let orders = OrderLog::new(store.clone());
+    start_host(&store, &orders).await;
+    while store.epoch(StreamName::Jobs) == 0 {
+        pause(10).await;
+    }
+    // The claim has read the jobs by then, and its fence is on the way.
+    pause(LISTING_MS / 2).await;
+    store.delay_appends(StreamName::Runs, 0);
+    store.hold_jobs_reads(HeldReads::Waiting);
+    store.put(StreamName::Jobs, KeyedValue::from(&job("b", 1)));
+    if case.placed {
+        let row = run_row("b", &["u2"]);
+        store.put_as_owner(StreamName::Runs, EARLIER_TERM, &[row]);
+    }
+    pause(LISTING_MS).await;
+    store.hold_jobs_reads(HeldReads::None);
+    pause(OBSERVED_MS / 2).await;
+    let sent = orders.sent();
+    let starts: Vec<_> = sent.iter().filter(|order| order.starts.is_some()).collect();
+    assert_eq!(starts.is_empty(), case.placed, "{}: {starts:?}", case.name);
 }
--- a/tests/support/memory_store.rs
+++ b/tests/support/memory_store.rs
@@ -92,6 +92,16 @@
     pub sent_ms: u64,
 }
 
+/// Which reads of the jobs stream get no records.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum HeldReads {
+    #[default]
+    None,
+    /// Those of followers, which wait for records.
+    Waiting,
+    All,
+}
+
 #[derive(Debug, Default)]
 struct MemoryState {
     jobs: RefCell<MemoryStream>,
@@ -100,7 +110,8 @@
     upstreams: RefCell<MemoryStream>,
     confirmed: RefCell<Vec<ConfirmedAppend>>,
     late_listing: Cell<Option<(StreamName, u64)>>,
-    jobs_reads_held: Cell<bool>,
+    late_append: Cell<Option<(StreamName, u64)>>,
+    held_reads: Cell<HeldReads>,
 }
 
 /// The store. Clones share its streams.
@@ -145,9 +156,14 @@
         self.state.late_listing.set(Some((stream, delay_ms)));
     }
 
+    /// Lets all stamped appends to a stream wait for this long at the store before they are applied.
+    pub fn delay_appends(&self, stream: StreamName, delay_ms: u64) {
+        self.state.late_append.set(Some((stream, delay_ms)));
+    }
+
     /// Holds back the records of the jobs stream from its readers.
-    pub fn hold_jobs_reads(&self) {
-        self.state.jobs_reads_held.set(true);
+    pub fn hold_jobs_reads(&self, held: HeldReads) {
+        self.state.held_reads.set(held);
     }
 
     /// Returns the highest epoch that has appended to a stream.
@@ -162,11 +178,18 @@
         of_term.map(|append| append.sent_ms).max()
     }
 
+    fn holds_read(&self, wait_ms: u64) -> bool {
+        match self.state.held_reads.get() {
+            HeldReads::None => false,
+            HeldReads::Waiting => wait_ms > 0,
+            HeldReads::All => true,
+        }
+    }
+
     async fn read(&self, stream: StreamName, from: u64, wait_ms: u64) -> StoreReply {
         let until_ms = steady_ms() + wait_ms;
         loop {
-            let held = stream == StreamName::Jobs && self.state.jobs_reads_held.get();
-            let reply = match held {
+            let reply = match stream == StreamName::Jobs && self.holds_read(wait_ms) {
                 true => StoreReply {
                     end: from,
                     ..StoreReply::default()
@@ -191,6 +214,9 @@
                 expected_end,
             } => {
                 let sent_ms = steady_ms();
+                if stamp.is_some() {
+                    wait_if_late(self.state.late_append.get(), *stream).await;
+                }
                 let mut memory = self.stream(*stream).borrow_mut();
                 let reply = memory.append(entries, stamp.as_ref(), *expected_end)?;
                 if let Some(stamp) = stamp {
@@ -206,13 +232,17 @@
                 wait_ms,
             } => Ok(self.read(*stream, *from, *wait_ms).await),
             StoreCall::Newest { stream, .. } => {
-                if let Some((late, delay_ms)) = self.state.late_listing.get()
-                    && late == *stream
-                {
-                    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
-                }
+                wait_if_late(self.state.late_listing.get(), *stream).await;
                 Ok(self.stream(*stream).borrow().newest())
             }
         }
     }
 }
+
+async fn wait_if_late(late: Option<(StreamName, u64)>, stream: StreamName) {
+    if let Some((late, delay_ms)) = late
+        && late == stream
+    {
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+    }
+}
--- a/tests/support/order_log.rs
+++ b/tests/support/order_log.rs
@@ -7,6 +7,7 @@
 use hemlockramp::tables::name::ObjectName;
 use hemlockramp::work::host_context::steady_ms;
 use hemlockramp::work::ports::OrderPort;
+use hemlockramp::work::task_ref::TaskRef;
 use hemlockramp::work::upstream::{
     OrderFailure, OrderTarget, RenewOrder, RenewReply, StartOrder, StartOutcome, StopOrder,
 };
@@ -22,6 +23,8 @@
 #[derive(Clone, Debug)]
 pub struct SentOrder {
     pub upstream: ObjectName,
+    /// The task that it starts; none if it is no start.
+    pub starts: Option<TaskRef>,
     pub term: u64,
     /// Time since the owner sent its newest confirmed append, in ms.
     pub unconfirmed_ms: u64,
@@ -55,11 +58,12 @@
         self.sent.borrow().clone()
     }
 
-    async fn send(&self, target: &OrderTarget) {
+    async fn send(&self, target: &OrderTarget, starts: Option<&TaskRef>) {
         let term = target.fencing_token >> TOKEN_RESTART_BITS;
         let confirmed_ms = self.store.confirmed_ms(term).unwrap_or_default();
         self.sent.borrow_mut().push(SentOrder {
             upstream: target.upstream.clone(),
+            starts: starts.cloned(),
             term,
             unconfirmed_ms: steady_ms() - confirmed_ms,
         });
@@ -70,17 +74,17 @@
 
 impl OrderPort for OrderLog {
     async fn start(&self, order: &StartOrder) -> StartOutcome {
-        self.send(&order.target).await;
+        self.send(&order.target, Some(&order.task)).await;
         StartOutcome::Unknown
     }
 
     async fn stop(&self, order: &StopOrder) -> Result<u64, OrderFailure> {
-        self.send(&order.target).await;
+        self.send(&order.target, None).await;
         Ok(steady_ms())
     }
 
     async fn renew(&self, order: &RenewOrder) -> Result<RenewReply, OrderFailure> {
-        self.send(&order.target).await;
+        self.send(&order.target, None).await;
         Err(OrderFailure::Silent)
     }
 }
