Preempt for the slots that are counted, where a large unit frees several

Jobs inside their team's guarantee waited beyond the bound of RECLAIM on a full pool, until other work ended by itself: nothing was preempted for them.

Cause: the choice of victims frees slots one after the other on each upstream, and counted the work lost for each. Where one large unit frees several slots, the first costs its work and the next ones nothing. The slots were sorted by cost, so the free ones were taken and the one that pays for them was not. The choice was then too small, often empty, and the unit did not fit: no reservation, no wait with a bound. Slots of an upstream are now taken together with those freed before them, by the work lost for each slot.

Evidence: the new cases of preemption_loses_the_least_work failed before (left: Some([]), right: Some([1])).

--- a/src/work/victims.rs
+++ b/src/work/victims.rs
@@ -4,6 +4,8 @@
 //! wait. Slots are freed one by one, on the upstreams where the least work is lost, and within one
 //! rack if the gang requires it. Only whole units are preempted.
 
+use std::cmp::Reverse;
+
 use crate::tables::name::ObjectName;
 use crate::work::amount::ResourceAmount;
 use crate::work::placement::{CandidateUpstream, CapacityClaim, UnitDemand, max_task_slots};
@@ -23,12 +25,26 @@
 
 /// Capacity for one task, gained by preempting units.
 struct PreemptedSlot {
-    upstream: usize,
     /// Work lost in addition to that of the slots freed earlier on the same upstream.
     cost: u64,
     victims: Vec<usize>,
 }
 
+/// The first slots of an upstream that are not taken yet. The cheapest are taken first.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct SlotPrefix {
+    /// Work lost for each of its slots.
+    cost_per_slot: u64,
+    slots: Reverse<usize>,
+}
+
+/// Slots for all tasks of a unit.
+#[derive(Default)]
+struct SlotChoice {
+    cost: u64,
+    victims: Vec<usize>,
+}
+
 /// Chooses the victims that make the unit fit, as indexes into `victims`. Returns `None` if no
 /// choice does.
 pub fn choose_victims(
@@ -38,36 +54,68 @@
     victims: &[&VictimUnit],
 ) -> Option<Vec<usize>> {
     let by_upstream = victims_by_upstream(candidates.len(), victims);
-    let mut slots: Vec<PreemptedSlot> = Vec::new();
-    for (index, upstream) in candidates.iter().enumerate() {
-        let slots_max = max_task_slots(demand, claim, upstream);
-        slots.extend(preempt_slots(
+    let slots_of = |index: usize| {
+        let slots_max = max_task_slots(demand, claim, &candidates[index]);
+        preempt_slots(
             demand,
             candidates,
             victims,
             index,
             &by_upstream[index],
             slots_max,
-        ));
-    }
-    // The sort is stable: slots of one upstream keep the order in which they are freed.
-    slots.sort_by_key(|slot| slot.cost);
+        )
+    };
+    let slots: Vec<Vec<PreemptedSlot>> = (0..candidates.len()).map(slots_of).collect();
     let racks = allowed_racks(demand, candidates);
     let choices = racks.iter().filter_map(|rack| {
-        let inside =
-            |slot: &&PreemptedSlot| rack.is_none() || candidates[slot.upstream].rack == *rack;
-        let chosen: Vec<&PreemptedSlot> = slots.iter().filter(inside).take(demand.count).collect();
-        let cost: u64 = chosen.iter().map(|slot| slot.cost).sum();
-        (chosen.len() == demand.count).then_some((cost, chosen))
+        let inside = |index: &usize| rack.is_none() || candidates[*index].rack == *rack;
+        let usable = (0..slots.len()).filter(inside);
+        cheapest_slots(
+            usable.map(|index| slots[index].as_slice()).collect(),
+            demand.count,
+        )
+    });
+    let mut chosen = choices.min_by_key(|choice| choice.cost)?.victims;
+    chosen.sort_unstable();
+    chosen.dedup();
+    Some(chosen)
+}
+
+/// Takes `wanted` slots, given those of each upstream in the order in which they are freed. A slot
+/// may cost nothing once an earlier one on its upstream has been freed, so the slots up to it are
+/// taken together. Returns `None` if there are not enough.
+fn cheapest_slots(mut by_upstream: Vec<&[PreemptedSlot]>, wanted: usize) -> Option<SlotChoice> {
+    let mut choice = SlotChoice::default();
+    let mut missing = wanted;
+    while missing > 0 {
+        let prefixes = by_upstream
+            .iter()
+            .enumerate()
+            .filter_map(|(index, slots)| Some((cheapest_prefix(slots, missing)?, index)));
+        let (prefix, index) = prefixes.min()?;
+        let Reverse(count) = prefix.slots;
+        let (taken, rest) = by_upstream[index].split_at(count);
+        by_upstream[index] = rest;
+        choice.cost += taken.iter().map(|slot| slot.cost).sum::<u64>();
+        let victims = taken.iter().flat_map(|slot| &slot.victims);
+        choice.victims.extend(victims);
+        missing -= count;
+    }
+    Some(choice)
+}
+
+/// Returns the prefix of up to `missing` slots that loses the least work for each slot, the longest
+/// of equals; `None` if no slot is left.
+fn cheapest_prefix(slots: &[PreemptedSlot], missing: usize) -> Option<SlotPrefix> {
+    let mut cost = 0;
+    let prefixes = slots.iter().take(missing).enumerate().map(|(index, slot)| {
+        cost += slot.cost;
+        SlotPrefix {
+            cost_per_slot: cost / (index as u64 + 1),
+            slots: Reverse(index + 1),
+        }
     });
-    let (_, chosen) = choices.min_by_key(|(cost, _)| *cost)?;
-    let mut all: Vec<usize> = chosen
-        .iter()
-        .flat_map(|slot| slot.victims.iter().copied())
-        .collect();
-    all.sort_unstable();
-    all.dedup();
-    Some(all)
+    prefixes.min()
 }
 
 /// Returns the victims on each upstream: weakest claims first, then those that lose the least work.
@@ -76,7 +124,7 @@
     let mut order: Vec<usize> = (0..victims.len()).collect();
     order.sort_by_key(|&index| {
         let victim = victims[index];
-        (std::cmp::Reverse(victim.rank), victim.lost_work)
+        (Reverse(victim.rank), victim.lost_work)
     });
     for index in order {
         for &upstream in &victims[index].upstreams {
@@ -102,7 +150,6 @@
     let mut slots = Vec::new();
     while slots.len() < slots_max.min(demand.count) {
         let mut slot = PreemptedSlot {
-            upstream: index,
             cost: 0,
             victims: Vec::new(),
         };
--- a/tests/work_decisions.rs
+++ b/tests/work_decisions.rs
@@ -203,7 +203,7 @@
 }
 
 /// Load: an urgent gang on a pool full of small work. Guards against excessive preemption: 48 units
-/// were preempted for one gang.
+/// were preempted for one gang; and against none at all, where a large unit frees several slots.
 #[test]
 fn preemption_loses_the_least_work() {
     let cases = [
@@ -247,6 +247,38 @@
             victims: vec![victim(&[0], 8, 100, 2), victim(&[2], 8, 100, 2)],
             chosen: None,
         },
+        VictimCase {
+            what: "the unit that frees the first slot, though the next slots there lose nothing more",
+            demand: gang(4, 2),
+            victims: vec![
+                victim(&[0], 8, 300, 2),
+                victim(&[1], 8, 200, 2),
+                victim(&[2], 8, 400, 2),
+                victim(&[3], 8, 500, 2),
+            ],
+            chosen: Some(&[1]),
+        },
+        VictimCase {
+            what: "a large unit in place of many that lose more together",
+            demand: gang(2, 4),
+            victims: vec![
+                victim(&[0], 8, 150, 2),
+                victim(&[1], 4, 100, 2),
+                victim(&[1], 4, 100, 2),
+            ],
+            chosen: Some(&[0]),
+        },
+        VictimCase {
+            what: "no large unit for a single slot that a small one can free",
+            demand: gang(3, 4),
+            victims: vec![
+                victim(&[0], 8, 150, 2),
+                victim(&[2], 8, 900, 2),
+                victim(&[1], 4, 120, 2),
+                victim(&[1], 4, 130, 2),
+            ],
+            chosen: Some(&[0, 2]),
+        },
     ];
     for case in cases {
         let candidates = candidates(&[0, 0, 0, 0], 2);
