Do not send a call whose time ran out while the process was paused

A call to an upstream or to the store takes its time limit at its beginning. If the process was paused while the connection was being opened, the request was still sent on waking, however late, and then reported as unanswered. An order could thus reach its upstream long after it was decided.

The time is checked again before anything is sent; such a call reports that it has not run. What is left is a pause between this check and the write, which only the end of the lease and the fencing token bound.

Evidence: call_whose_time_has_run_out_is_not_sent failed before (limit 200 ms, paused for 500 ms while connecting: the server received the request) and passes; its other case shows that a call in time is sent.

--- a/src/wire/local_http.rs
+++ b/src/wire/local_http.rs
@@ -149,6 +149,11 @@
     ) -> Result<Option<HttpResponse>, CallFailure> {
         let request = call.request()?;
         let address = call.address;
+        // The process may have been paused since the call began.
+        if Instant::now() >= deadline {
+            self.put(address, sender);
+            return Err(CallFailure::not_run(503, "no time left to send it"));
+        }
         let sent = timeout_at(deadline, send(&mut sender, request)).await;
         match sent {
             Ok(Ok(Some(response))) => {
