--- a/src/work/owner/job_state.rs
+++ b/src/work/owner/job_state.rs
@@ -89,6 +89,8 @@
     pub unlisted_since_ms: Option<u64>,
     /// When the last order was sent, steady ms.
     pub last_order_ms: u64,
+    /// When the last stop order was sent, steady ms; 0 for none.
+    pub stop_sent_ms: u64,
     /// Whether an order is in flight.
     pub in_flight: bool,
     /// Whether an unanswered start order may still take effect.
--- a/src/work/owner/renewals.rs
+++ b/src/work/owner/renewals.rs
@@ -139,6 +139,8 @@
         }
         let phase = self.jobs[job].units[unit].phase;
         let resend_due = now_ms.saturating_sub(state.last_order_ms) >= ORDER_RESEND_MS;
+        // The first stop order does not wait, however new the run is.
+        let stop_due = now_ms.saturating_sub(state.stop_sent_ms) >= ORDER_RESEND_MS;
         match (phase, state.phase) {
             (UnitPhase::Active, MemberPhase::Planned) => self.send_start(job, unit, member, true),
             (UnitPhase::Active, MemberPhase::Sent) if resend_due => {
@@ -148,7 +150,7 @@
                 self.drop_unsent_start(job, unit, member);
                 self.requeue_unit(job, unit);
             }
-            (UnitPhase::Stopping, _) if resend_due || state.last_order_ms == 0 => {
+            (UnitPhase::Stopping, _) if stop_due => {
                 self.send_stop(job, unit, member);
             }
             _ => {}
@@ -257,6 +259,7 @@
         if state.stop == StopProgress::Unsent {
             state.stop = StopProgress::Sent;
         }
+        state.stop_sent_ms = now_ms;
         self.ready.push(UpstreamOrder::Stop(order));
     }
 }
