Accept the success of a run that was given up if its unit still waits

Callers saw work done twice: an upstream that is cut off beyond its leases comes back and lists the success of a run whose lease was over by then. The end was dropped, and the work done once more, though nothing had been started in its place yet.

Such a success now completes its unit, as long as that waits. An upstream with whose leases runs were given up gets no new work before it has answered, so that its ends are read first. A unit that was placed again meanwhile is left as it was.

Evidence: success_that_is_read_late_is_accepted failed before (two starts), with and without a change of owner. Ruled out: stopping a newer run for the older one's success; the newer one may have done its work by then.

--- a/src/work/owner/ends.rs
+++ b/src/work/owner/ends.rs
@@ -53,6 +53,9 @@
         metrics::counter!("hemlockramp_runs_ended_total", "how" => how).increment(1);
         let Some((job, unit, member)) = found else {
             metrics::counter!("hemlockramp_stray_ends_total", "how" => how).increment(1);
+            if end.kind == EndKind::Done {
+                self.accept_late_success(end);
+            }
             return;
         };
         let lasting = self.jobs[job].step(unit).lasting;
@@ -65,6 +68,29 @@
         }
     }
 
+    /// Accepts the success of a run that had been given up, if its unit has not been placed again: the
+    /// work is done, and need not be done twice.
+    fn accept_late_success(&mut self, end: &EndedTask) {
+        let Some(job) = self.job_index(&end.task.job) else {
+            return;
+        };
+        let Some((unit, _)) = self.jobs[job].locate(&end.task) else {
+            return;
+        };
+        let state = &self.jobs[job];
+        let waits = state.units[unit].phase == UnitPhase::Waiting && !state.phase.is_over();
+        if !waits || state.step(unit).lasting {
+            return;
+        }
+        log::info!(
+            target: LOG_TARGET,
+            job = end.task.job.as_str(), task:% = end.task, run = end.run;
+            "owner: the success of a run that was given up is accepted."
+        );
+        self.jobs[job].rows.mark_unit(unit);
+        self.complete_unit(job, unit);
+    }
+
     /// Keeps a unit's newest checkpoint. One that is too long to be stored is left out, and the unit
     /// would resume from the one before.
     pub(super) fn keep_checkpoint(&mut self, job: usize, unit: usize, checkpoint: &Arc<str>) {
@@ -87,8 +113,11 @@
         if let Some(index) = self.upstream_index(name) {
             self.upstreams[index].failure_score *= FAILURE_SCORE_DECAY;
         }
-        let state = &mut self.jobs[job].units[unit];
-        state.phase = UnitPhase::Done;
+        self.complete_unit(job, unit);
+    }
+
+    fn complete_unit(&mut self, job: usize, unit: usize) {
+        self.jobs[job].units[unit].phase = UnitPhase::Done;
         if self.jobs[job].is_done() {
             self.set_phase(job, JobPhase::Completed);
         }
--- a/src/work/owner/renewals.rs
+++ b/src/work/owner/renewals.rs
@@ -48,6 +48,7 @@
             }
             // What is left belongs to jobs that no longer exist.
             self.upstreams[index].held.clear();
+            self.upstreams[index].gave_up_runs = true;
             self.upstreams[index].used = Default::default();
         }
     }
--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -229,6 +229,7 @@
         }
         self.placement_due |= !upstream.reconciled;
         upstream.reconciled = true;
+        upstream.gave_up_runs = false;
         upstream.answered_ms = now_ms;
         upstream.missed_renewals = 0;
         upstream.clock = Some(upstream.clock.map_or(reading, |old| old.later(reading)));
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -81,6 +81,8 @@
     pub end_batch: Option<u64>,
     /// Whether this owner has had an answer from the current incarnation.
     pub reconciled: bool,
+    /// Whether runs were given up with its leases since it last answered. Their ends may be unread.
+    pub gave_up_runs: bool,
     /// Count of failed runs, reduced by each completed run.
     pub failure_score: f64,
     /// Estimated slowdown against other upstreams.
@@ -121,6 +123,7 @@
             answered_ms: 0,
             end_batch: None,
             reconciled: false,
+            gave_up_runs: false,
             failure_score: 0.0,
             slowdown: UpstreamSlowdown::default(),
             next_sample_ms: 0,
@@ -145,6 +148,7 @@
         self.listed
             && !draining
             && self.missed_renewals == 0
+            && !self.gave_up_runs
             && self.quarantined_until_ms <= now_ms
             && self.clock.is_some()
             && (self.reconciled || (self.held.is_empty() && self.restarts == 0))
@@ -225,7 +229,7 @@
     pub fn wants_renewal(&self) -> bool {
         let unreconciled_restart = self.restarts > 0 && !self.reconciled;
         // Nothing is placed on an upstream that missed a renewal until it has answered another.
-        let excluded = unreconciled_restart || self.missed_renewals > 0;
+        let excluded = unreconciled_restart || self.missed_renewals > 0 || self.gave_up_runs;
         !self.held.is_empty() || self.recorded_end > self.acked_end || (self.listed && excluded)
     }
 }
--- a/tests/doubled_runs.rs
+++ b/tests/doubled_runs.rs
@@ -223,3 +223,26 @@
     assert_eq!(pool.starts("a.0.0.0"), 1);
     assert_no_violations(&pool, "a report of an earlier life");
 }
+
+/// Guards against work that is done twice: an upstream was cut off beyond its leases and came back with the
+/// success of a run that had been given up, and the run was repeated though its unit still waited.
+#[test]
+fn success_that_is_read_late_is_accepted() {
+    for takes_over in [false, true] {
+        let mut pool = pool(SEED, 1);
+        let mut second = step(1, 500, 8, false);
+        second.after = vec![0];
+        pool.submit("a", "plain", vec![step(1, 2_000, 8, false), second]);
+        pool.run_for(1_000);
+        pool.upstreams[0].unreachable_until_ms = pool.now_ms + 12_000;
+        if takes_over {
+            pool.run_for(2_000);
+            pool.take_over();
+        }
+        pool.run_for(30_000);
+        assert_eq!(pool.phase("a"), JobPhase::Completed);
+        assert_eq!(pool.starts("a.0.0.0"), 1, "new owner: {takes_over}");
+        assert_eq!(pool.starts("a.0.1.0"), 1, "new owner: {takes_over}");
+        assert_no_violations(&pool, "a late success");
+    }
+}
