--- a/src/systems/borrow.rs
+++ b/src/systems/borrow.rs
@@ -6,7 +6,7 @@
 use crate::tables::cell::CellSpan;
 use crate::tables::job::{AttemptPhase, JobRow, JobSpec};
 use crate::tables::name::ObjectName;
-use crate::tables::rack::{CellCandidate, push_candidates};
+use crate::tables::rack::{CellCandidate, RackRow, push_candidates};
 
 /// Reservations for gangs that have been blocked for a long time.
 #[derive(Clone, Debug, Default)]
@@ -28,19 +28,10 @@
     /// Returns a rack's accelerators that are reserved against work ending at `end_ms`.
     fn reserved_mask(&self, rack: u32, end_ms: u64) -> u128 {
         let blocking = self.rows.iter().filter(|row| end_ms > row.free_ms);
-        mask_on_rack(blocking, rack)
+        let cells = blocking.flat_map(|row| &row.cells);
+        let matching = cells.filter(|cell| cell.rack == rack);
+        matching.fold(0, |mask, cell| mask | cell.mask())
     }
-
-    /// Returns all of a rack's accelerators that are reserved.
-    fn mask(&self, rack: u32) -> u128 {
-        mask_on_rack(self.rows.iter(), rack)
-    }
-}
-
-fn mask_on_rack<'a>(rows: impl Iterator<Item = &'a ReservationRow>, rack: u32) -> u128 {
-    let cells = rows.flat_map(|row| &row.cells);
-    let matching = cells.filter(|cell| cell.rack == rack);
-    matching.fold(0, |mask, cell| mask | cell.mask())
 }
 
 /// Returns the failure domains in which a job may run.
@@ -111,17 +102,11 @@
 
 /// Reserves the cells that a blocked gang can have soonest, in the failure domain where
 /// they are free first.
-///
-/// Cells in `reserved` are left out, so that blocked gangs do not wait for the same cells.
-pub fn reserve_cells(
-    state: &FoldState,
-    job: &JobRow,
-    reserved: &ReservationTable,
-) -> Option<ReservationRow> {
+pub fn reserve_cells(state: &FoldState, job: &JobRow) -> Option<ReservationRow> {
     let domains = domains_for(state, &job.spec);
     let rows = domains
         .iter()
-        .filter_map(|domain| reserve_in_domain(state, job, domain, reserved));
+        .filter_map(|domain| reserve_in_domain(state, job, domain));
     rows.min_by_key(|row| row.free_ms)
 }
 
@@ -129,15 +114,11 @@
     state: &FoldState,
     job: &JobRow,
     domain: &ObjectName,
-    reserved: &ReservationTable,
 ) -> Option<ReservationRow> {
-    let mut candidates = Vec::new();
-    for (rack, row) in state.racks.rows.iter().enumerate() {
-        if row.domain == *domain {
-            let available = row.usable & !row.hard & !reserved.mask(rack as u32);
-            push_candidates(rack as u32, available, job.spec.shape, &mut candidates);
-        }
-    }
+    let available = |row: &RackRow| row.usable & !row.hard;
+    let candidates = state
+        .racks
+        .candidate_cells(domain, job.spec.shape, available);
     if candidates.len() < job.spec.count as usize {
         return None;
     }
--- a/src/systems/plan.rs
+++ b/src/systems/plan.rs
@@ -244,8 +244,7 @@
             .find(&job.spec.team)
             .is_some_and(|row| row.spec.may_borrow);
         if due && may_borrow && self.reserved.rows.len() < RESERVATIONS_MAX {
-            let row = reserve_cells(&self.scratch, job, &self.reserved);
-            self.reserved.rows.extend(row);
+            self.reserved.rows.extend(reserve_cells(&self.scratch, job));
         }
     }
 
