--- a/src/work/owner/reconcile.rs
+++ b/src/work/owner/reconcile.rs
@@ -99,8 +99,9 @@
         let seen_before = state.unlisted_since_ms.is_some();
         let since_ms = *state.unlisted_since_ms.get_or_insert(now_ms);
         let stop_ms = drift_safe_wait_ms(self.timing.stop_ms);
-        // A later life carries out no order of the one before once it has answered, so it can only be
-        // stopping what it was told to stop. Of a restored run that is not known.
+        // Once a later life has answered, it carries out no order of the life before, so a run that is
+        // not listed there can only be one that is being stopped. Whether an earlier owner has told a
+        // restored run to stop is not known.
         let recheck_ms = match (state.stop, proof) {
             (StopProgress::Answered { at_ms }, _) => since_ms.max(at_ms) + stop_ms,
             (_, LossProof::LaterLife) if !state.restored => since_ms,
