--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -1,11 +1,14 @@
 //! The cases: each sends jobs, disturbs the deployment within the limits of the pages, and checks one rule.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::hosts::{Hosts, Queue, config, labelled_step, step};
+use crate::hosts::{Hosts, KEY, Queue, config, labelled_step, step};
+use crate::http::Connection;
 use crate::json::{Json, obj, text};
 use crate::record::Record;
 use crate::runner::{ACCELERATORS, History, Runner};
@@ -19,7 +22,7 @@
     trouble: bool,
     record: Arc<Record>,
     store: Arc<Store>,
-    store_address: std::net::SocketAddr,
+    store_address: SocketAddr,
     history: History,
 }
 
@@ -291,3 +294,178 @@
         )))
     })
 }
+
+/// Hands jobs in as fast as they are accepted, by several consumers.
+struct Load {
+    /// Jobs that are still to be handed in.
+    left: AtomicU64,
+    accepted: AtomicU64,
+    stopped: AtomicBool,
+    fronts: Vec<SocketAddr>,
+}
+
+impl Load {
+    fn run(&self, consumer: u64) {
+        let auth = format!("Token {KEY}");
+        let headers = [("host", "queue.example"), ("authorization", auth.as_str())];
+        let limit = Duration::from_millis(3_000);
+        let spec = format!("work=1 {}", "x".repeat(SPEC_BYTES));
+        let body = job(&spec, vec![step(1, 1, &[])]).to_string();
+        let mut at = consumer as usize;
+        let mut open = None;
+        while !self.stopped.load(Ordering::SeqCst) {
+            let taken = self
+                .left
+                .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| {
+                    left.checked_sub(1)
+                });
+            let Ok(number) = taken else { return };
+            let path = format!("/batch/{number:016x}");
+            loop {
+                if self.stopped.load(Ordering::SeqCst) {
+                    return;
+                }
+                let connection = match open.take() {
+                    Some(connection) => Some(connection),
+                    None => Connection::open(self.fronts[at % self.fronts.len()], limit),
+                };
+                let answer = connection.and_then(|mut connection| {
+                    let answer = connection.call("POST", &path, &headers, &body);
+                    open = answer.is_some().then_some(connection);
+                    answer
+                });
+                if answer.is_some_and(|(status, _)| status == 200) {
+                    self.accepted.fetch_add(1, Ordering::SeqCst);
+                    break;
+                }
+                open = None;
+                at += 1;
+                thread::sleep(Duration::from_millis(200));
+            }
+        }
+    }
+}
+
+/// Length of the `spec` of the jobs, in bytes; the longest one that is allowed.
+const SPEC_BYTES: usize = 3_990;
+
+/// The platform's supervision of the hosts: ends those that exceed their machine's memory, and starts them again.
+struct Supervisor {
+    memory_max_mb: u64,
+    kills: [u64; 3],
+    down_since_ms: [Option<u64>; 3],
+    shown_ms: u64,
+}
+
+impl Supervisor {
+    const RESTART_MS: u64 = 1_000;
+    const SHOW_MS: u64 = 1_000;
+
+    fn check(&mut self, setting: &Setting, hosts: &mut Hosts, accepted: u64) {
+        let now_ms = setting.record.now_ms();
+        let memory: Vec<Option<u64>> = (0..3).map(|host| hosts.memory_mb(host)).collect();
+        if now_ms >= self.shown_ms + Self::SHOW_MS {
+            self.shown_ms = now_ms;
+            let line = format!("{accepted} jobs accepted; memory of the hosts, MB: {memory:?}");
+            setting.record.line(line);
+        }
+        for host in 0..3 {
+            if let Some(memory_mb) = memory[host].filter(|mb| *mb > self.memory_max_mb) {
+                hosts.kill(host);
+                self.kills[host] += 1;
+                self.down_since_ms[host] = Some(now_ms);
+                setting.record.line(format!(
+                    "front-{host} used {memory_mb} MB of {}: ended by the platform, time {}",
+                    self.memory_max_mb, self.kills[host]
+                ));
+            } else if self.down_since_ms[host]
+                .is_some_and(|since| now_ms >= since + Self::RESTART_MS)
+            {
+                self.down_since_ms[host] = None;
+                hosts.restart(host);
+            }
+        }
+    }
+}
+
+/// LOST: hosts keep each finished job for ever. After some hours of the sheet's traffic each process exceeds the
+/// memory of its machine, and again after each restart, so that no host answers for accepted jobs.
+pub fn memory(setting: Setting) -> Verdict {
+    const MEMORY_MB: u64 = 260;
+    const JOBS_PER_HOUR: u64 = 14_616;
+    const HOURS: u64 = 8;
+    const QUIET_HOURS: u64 = 1;
+    const CONSUMERS: u64 = 24;
+    const LOAD_MAX_MS: u64 = 80_000;
+    const FINISH_MS: u64 = 14_000;
+    const ATTEMPTS: usize = 5;
+    let runners = setting.runners(16);
+    runners.iter().for_each(|runner| runner.be_quiet());
+    let queues = [Queue {
+        name: "batch",
+        priority: 0,
+        attempts: 2,
+    }];
+    setting.play(&queues, |hosts| {
+        let hours = if setting.trouble { HOURS } else { QUIET_HOURS };
+        let jobs = hours * JOBS_PER_HOUR;
+        let load = Arc::new(Load {
+            left: AtomicU64::new(jobs),
+            accepted: AtomicU64::new(0),
+            stopped: AtomicBool::new(false),
+            fronts: hosts.fronts(),
+        });
+        for consumer in 0..CONSUMERS {
+            let load = Arc::clone(&load);
+            thread::spawn(move || load.run(consumer));
+        }
+        let mut supervisor = Supervisor {
+            memory_max_mb: MEMORY_MB,
+            kills: [0; 3],
+            down_since_ms: [None; 3],
+            shown_ms: 0,
+        };
+        let pause = Duration::from_millis(50);
+        let accepted = || load.accepted.load(Ordering::SeqCst);
+        while accepted() < jobs
+            && supervisor.kills.contains(&0)
+            && setting.record.now_ms() < LOAD_MAX_MS
+        {
+            thread::sleep(pause);
+            supervisor.check(&setting, hosts, accepted());
+        }
+        load.stopped.store(true, Ordering::SeqCst);
+        let traffic_end_ms = setting.record.now_ms();
+        setting.record.line("end of the traffic");
+        while setting.record.now_ms() < traffic_end_ms + FINISH_MS {
+            thread::sleep(pause);
+            supervisor.check(&setting, hosts, accepted());
+        }
+        let mut unanswered = 0;
+        // The jobs were numbered downwards, so these were handed in first.
+        for number in [jobs - 1, jobs - 1_000, jobs - 5_000] {
+            let mut state = String::new();
+            for _ in 0..ATTEMPTS {
+                state = hosts.state(&format!("/batch/{number:016x}"));
+                if state == "completed" {
+                    break;
+                }
+                for _ in 0..20 {
+                    thread::sleep(pause);
+                    supervisor.check(&setting, hosts, accepted());
+                }
+            }
+            unanswered += usize::from(!["queued", "running", "completed"].contains(&state.as_str()));
+        }
+        let accepted = accepted();
+        let summary = format!(
+            "after {accepted} jobs the hosts were ended {:?} times for their memory; {unanswered} of 3 accepted jobs get no answer",
+            supervisor.kills
+        );
+        setting.record.line(&summary);
+        if setting.trouble && supervisor.kills == [0; 3] {
+            return Err(format!("the limit of memory was not reached; {summary}"));
+        }
+        Ok((unanswered > 0).then_some(summary))
+    })
+}
--- a/review/standin-2/hosts.rs
+++ b/review/standin-2/hosts.rs
@@ -18,7 +18,7 @@
 const CALL_MS: u64 = 3_000;
 /// Attempts of a consumer, each at the next host.
 const ATTEMPTS: usize = 5;
-const KEY: &str = "key-1";
+pub const KEY: &str = "key-1";
 /// Ports of the hosts.
 const FIRST_PORT: u32 = 20_000;
 const PORTS: u32 = 12_000;
@@ -142,6 +142,19 @@
         self.record.line(format!("front-{host} starts again"));
     }
 
+    pub fn fronts(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().map(|host| host.front).collect()
+    }
+
+    /// Returns the resident memory of a host's process, in MB; `None` if there is none.
+    pub fn memory_mb(&self, host: usize) -> Option<u64> {
+        let id = self.hosts[host].child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let row = status.lines().find(|row| row.starts_with("VmRSS:"))?;
+        let kilobytes: u64 = row.split_whitespace().nth(1)?.parse().ok()?;
+        Some(kilobytes / 1_024)
+    }
+
     /// Hands a job in at one host, once.
     pub fn submit_at(&self, host: usize, path: &str, body: &Json) -> bool {
         let answer = self.send(host, "POST", path, &body.to_string());
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -177,23 +177,46 @@
     body: &str,
     limit: Duration,
 ) -> Answer {
-    let mut stream = TcpStream::connect_timeout(&address, limit).ok()?;
-    stream.set_read_timeout(Some(limit)).ok()?;
-    let _ = stream.set_nodelay(true);
-    let mut message = format!("{method} {path} HTTP/1.1\r\n");
-    for (key, value) in headers {
-        message.push_str(&format!("{key}: {value}\r\n"));
+    Connection::open(address, limit)?.call(method, path, headers, body)
+}
+
+/// A client's connection, which can be used for several requests.
+pub struct Connection {
+    out: TcpStream,
+    input: BufReader<TcpStream>,
+}
+
+impl Connection {
+    pub fn open(address: SocketAddr, limit: Duration) -> Option<Self> {
+        let out = TcpStream::connect_timeout(&address, limit).ok()?;
+        out.set_read_timeout(Some(limit)).ok()?;
+        let _ = out.set_nodelay(true);
+        let input = BufReader::new(out.try_clone().ok()?);
+        Some(Self { out, input })
+    }
+
+    /// Sends a request. The connection can't be used any more if there is no response.
+    pub fn call(
+        &mut self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Answer {
+        let mut message = format!("{method} {path} HTTP/1.1\r\n");
+        for (key, value) in headers {
+            message.push_str(&format!("{key}: {value}\r\n"));
+        }
+        message.push_str(&format!(
+            "content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        ));
+        self.out.write_all(message.as_bytes()).ok()?;
+        let (first, headers) = read_head(&mut self.input)?;
+        let status = first.split(' ').nth(1)?.parse().ok()?;
+        let length = headers.iter().find(|(key, _)| key == "content-length");
+        let mut body = vec![0; length.map_or(Some(0), |(_, value)| value.parse().ok())?];
+        self.input.read_exact(&mut body).ok()?;
+        Some((status, body))
     }
-    message.push_str(&format!(
-        "content-type: application/json\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
-        body.len()
-    ));
-    stream.write_all(message.as_bytes()).ok()?;
-    let mut input = BufReader::new(stream);
-    let (first, headers) = read_head(&mut input)?;
-    let status = first.split(' ').nth(1)?.parse().ok()?;
-    let length = headers.iter().find(|(key, _)| key == "content-length");
-    let mut body = vec![0; length.map_or(Some(0), |(_, value)| value.parse().ok())?];
-    input.read_exact(&mut body).ok()?;
-    Some((status, body))
 }
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -4,6 +4,7 @@
 //! A job's `spec` says what its tasks do: words of the form `work=MS` (time of a task; of step 0, 1, ...
 //! with commas) and `fail` (each run ends `failed`).
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -45,8 +46,8 @@
     deadline_ms: u64,
     runs: Vec<Run>,
     ended: Vec<Ended>,
-    /// Runs that were stopped or have ended here.
-    closed: Vec<(String, u64)>,
+    /// Newest run of each task that was stopped or has ended here.
+    closed: HashMap<String, u64>,
     last_number: u64,
 }
 
@@ -76,6 +77,8 @@
     /// Its first label.
     kind: String,
     draining: AtomicBool,
+    /// Whether runs are left out of the record and the history.
+    quiet: AtomicBool,
 }
 
 impl Life {
@@ -88,7 +91,7 @@
             deadline_ms: 0,
             runs: Vec::new(),
             ended: Vec::new(),
-            closed: Vec::new(),
+            closed: HashMap::new(),
             last_number: 0,
         }
     }
@@ -97,6 +100,11 @@
         self.start.elapsed().as_millis() as u64
     }
 
+    fn close(&mut self, task: &str, run: u64) {
+        let closed = self.closed.entry(task.to_owned()).or_insert(run);
+        *closed = run.max(*closed);
+    }
+
     fn extend(&mut self, body: &Json) {
         if let Some(until) = body.get("deadlineMs").number() {
             let longest = self.clock_ms() + MAX_HOLD_MS;
@@ -125,6 +133,7 @@
             number,
             kind: kind.to_owned(),
             draining: AtomicBool::new(false),
+            quiet: AtomicBool::new(false),
         });
         let own = Arc::clone(&runner);
         let address = serve(Arc::clone(&runner.power), move |request| {
@@ -228,7 +237,28 @@
         self.life.lock().unwrap().runs.len()
     }
 
+    /// Leaves runs out of the record and the history from now on.
+    pub fn be_quiet(&self) {
+        self.quiet.store(true, Ordering::SeqCst);
+    }
+
+    fn open_history(&self, task: String, run: u64) {
+        self.record
+            .line(format!("runner {} run {task} {run} starts", self.id));
+        self.history.lock().unwrap().push(Done {
+            runner: self.id.clone(),
+            task,
+            run,
+            from_ms: self.record.now_ms(),
+            to_ms: None,
+            how: String::new(),
+        });
+    }
+
     fn close_history(&self, task: &str, run: u64, how: &str) {
+        if self.quiet.load(Ordering::SeqCst) {
+            return;
+        }
         let now_ms = self.record.now_ms();
         self.record
             .line(format!("runner {} run {task} {run} ends: {how}", self.id));
@@ -262,7 +292,7 @@
             let run = life.runs.remove(index);
             life.last_number += 1;
             let number = life.last_number;
-            life.closed.push((run.task.clone(), run.run));
+            life.close(&run.task, run.run);
             self.close_history(&run.task, run.run, how);
             life.ended.push(Ended {
                 number,
@@ -315,7 +345,7 @@
             life.extend(body);
             return answer(life);
         }
-        if life.closed.iter().any(|one| one.0 == task && run <= one.1) {
+        if life.closed.get(&task).is_some_and(|closed| run <= *closed) {
             life.extend(body);
             return refuse(life, "old");
         }
@@ -339,16 +369,9 @@
             stops: None,
             fails: words.contains(&"fail"),
         });
-        self.record
-            .line(format!("runner {} run {task} {run} starts", self.id));
-        self.history.lock().unwrap().push(Done {
-            runner: self.id.clone(),
-            task,
-            run,
-            from_ms: self.record.now_ms(),
-            to_ms: None,
-            how: String::new(),
-        });
+        if !self.quiet.load(Ordering::SeqCst) {
+            self.open_history(task, run);
+        }
         answer(life)
     }
 
@@ -364,7 +387,7 @@
             Some(own) => {
                 own.stops.get_or_insert(stops);
             }
-            None => life.closed.push((task.to_owned(), run)),
+            None => life.close(task, run),
         }
         let body = obj(vec![("clockMs", num(life.clock_ms()))]);
         (200, body.to_string().into_bytes())
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -1,6 +1,8 @@
 //! Stand-in of the platform's store: keyed topics with one partition each.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -18,8 +20,8 @@
 struct Topic {
     name: String,
     records: Vec<(String, Vec<u8>)>,
-    /// Newest record of each key, sorted by key.
-    newest: Vec<(String, Vec<u8>, u64)>,
+    /// Newest record of each key, with its offset.
+    newest: BTreeMap<String, (Vec<u8>, u64)>,
 }
 
 struct Producer {
@@ -99,7 +101,8 @@
         let mut state = self.state.lock().unwrap();
         loop {
             let rows = &topic_mut(&mut state, topic).newest;
-            if rows.iter().any(|row| row.0.starts_with(prefix)) {
+            let first = rows.range(prefix.to_owned()..).next();
+            if first.is_some_and(|(key, _)| key.starts_with(prefix)) {
                 return true;
             }
             let left = until.saturating_duration_since(Instant::now());
@@ -159,6 +162,7 @@
     fn read(&self, topic: &str, request: &Request) -> (u16, Vec<u8>) {
         let from = request.count("from").unwrap_or(0);
         let wait = Duration::from_millis(request.count("waitMs").unwrap_or(0));
+        let max_bytes = request.count("maxKb").unwrap_or(1_024) as usize * 1_024;
         let until = Instant::now() + wait;
         let mut state = self.state.lock().unwrap();
         loop {
@@ -174,6 +178,9 @@
                     body.push(key.len() as u8);
                     body.extend_from_slice(key.as_bytes());
                     body.extend_from_slice(value);
+                    if body.len() >= max_bytes {
+                        break;
+                    }
                 }
                 return (200, body);
             }
@@ -187,10 +194,8 @@
         let after = request.field("after").map(decode_percent);
         let mut items = Vec::new();
         let (mut bytes, mut more) = (0, false);
-        for (key, value, offset) in &target.newest {
-            if after.as_ref().is_some_and(|after| key <= after) {
-                continue;
-            }
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        for (key, (value, offset)) in target.newest.range((from, Bound::Unbounded)) {
             bytes += key.len() + value.len();
             if items.len() == PAGE_RECORDS || (bytes > PAGE_BYTES && !items.is_empty()) {
                 more = true;
@@ -218,16 +223,10 @@
 
     fn append(&mut self, key: String, value: Vec<u8>) {
         let offset = self.end();
-        match self.newest.binary_search_by(|row| row.0.cmp(&key)) {
-            Ok(index) if value.is_empty() => {
-                self.newest.remove(index);
-            }
-            Ok(index) => self.newest[index] = (key.clone(), value.clone(), offset),
-            Err(_) if value.is_empty() => {}
-            Err(index) => self
-                .newest
-                .insert(index, (key.clone(), value.clone(), offset)),
-        }
+        match value.is_empty() {
+            true => self.newest.remove(&key),
+            false => self.newest.insert(key.clone(), (value.clone(), offset)),
+        };
         self.records.push((key, value));
     }
 }
