--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::hosts::{Hosts, KEY, Queue, config, labelled_step, step};
+use crate::hosts::{Hosts, KEY, Queue, config, labelled_step, lasting_step, step};
 use crate::http::Connection;
 use crate::json::{Json, obj, text};
 use crate::record::Record;
@@ -142,6 +142,53 @@
     })
 }
 
+/// LOST: runners crash under a task that lasts, one after the other. It must be back within 9 s: 6 s after its last
+/// run, plus 3 s.
+pub fn lasting(setting: Setting) -> Verdict {
+    const ID: &str = "1a57000000000001";
+    const RUNNERS: usize = 8;
+    const CRASHES: usize = 7;
+    const DOWN_MS: u64 = 2_000;
+    const AWAY_MAX_MS: u64 = 9_000;
+    let runners = setting.runners(RUNNERS);
+    let queues = [Queue {
+        name: "serve",
+        priority: 1,
+        attempts: 3,
+    }];
+    setting.play(&queues, |hosts| {
+        let body = job("work=100000000", vec![lasting_step()]);
+        if !hosts.submit(&format!("/serve/{ID}"), &body) {
+            return Err("the job was not accepted".to_owned());
+        }
+        let find = |limit_ms: u64| {
+            let mut found = None;
+            wait_until(limit_ms, || {
+                found = runners.iter().find(|runner| runner.runs_task_of(ID));
+                found.is_some()
+            });
+            found
+        };
+        let mut longest_ms = 0;
+        let crashes = if setting.trouble { CRASHES } else { 0 };
+        for _ in 0..crashes {
+            let runner = find(30_000).ok_or("the task isn't running")?;
+            thread::sleep(Duration::from_millis(1_000));
+            let crashed_ms = setting.record.now_ms();
+            runner.crash();
+            thread::sleep(Duration::from_millis(DOWN_MS));
+            runner.restart();
+            find(30_000);
+            longest_ms = longest_ms.max(setting.record.now_ms() - crashed_ms);
+        }
+        let runs = find(5_000).is_some();
+        let summary =
+            format!("the task ran nowhere for up to {longest_ms} ms; it runs at the end: {runs}");
+        setting.record.line(&summary);
+        Ok((longest_ms > AWAY_MAX_MS || !runs).then_some(summary))
+    })
+}
+
 /// LOST: a job that can never be done has failed on all runners. A sound job's turn has come, all runners
 /// are free, and nothing of it runs for over three seconds.
 pub fn hopeless(setting: Setting) -> Verdict {
