--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::hosts::{Hosts, KEY, Queue, config, labelled_step, lasting_step, step};
+use crate::hosts::{Hosts, KEY, Queue, config, labelled_step, step};
 use crate::http::Connection;
 use crate::json::{Json, obj, text};
 use crate::record::Record;
@@ -142,53 +142,6 @@
     })
 }
 
-/// LOST: runners crash under a task that lasts, one after the other. It must be back within 9 s: 6 s after its last
-/// run, plus 3 s.
-pub fn lasting(setting: Setting) -> Verdict {
-    const ID: &str = "1a57000000000001";
-    const RUNNERS: usize = 8;
-    const CRASHES: usize = 7;
-    const DOWN_MS: u64 = 2_000;
-    const AWAY_MAX_MS: u64 = 9_000;
-    let runners = setting.runners(RUNNERS);
-    let queues = [Queue {
-        name: "serve",
-        priority: 1,
-        attempts: 3,
-    }];
-    setting.play(&queues, |hosts| {
-        let body = job("work=100000000", vec![lasting_step()]);
-        if !hosts.submit(&format!("/serve/{ID}"), &body) {
-            return Err("the job was not accepted".to_owned());
-        }
-        let find = |limit_ms: u64| {
-            let mut found = None;
-            wait_until(limit_ms, || {
-                found = runners.iter().find(|runner| runner.runs_task_of(ID));
-                found.is_some()
-            });
-            found
-        };
-        let mut longest_ms = 0;
-        let crashes = if setting.trouble { CRASHES } else { 0 };
-        for _ in 0..crashes {
-            let runner = find(30_000).ok_or("the task isn't running")?;
-            thread::sleep(Duration::from_millis(1_000));
-            let crashed_ms = setting.record.now_ms();
-            runner.crash();
-            thread::sleep(Duration::from_millis(DOWN_MS));
-            runner.restart();
-            find(30_000);
-            longest_ms = longest_ms.max(setting.record.now_ms() - crashed_ms);
-        }
-        let runs = find(5_000).is_some();
-        let summary =
-            format!("the task ran nowhere for up to {longest_ms} ms; it runs at the end: {runs}");
-        setting.record.line(&summary);
-        Ok((longest_ms > AWAY_MAX_MS || !runs).then_some(summary))
-    })
-}
-
 /// LOST: a job that can never be done has failed on all runners. A sound job's turn has come, all runners
 /// are free, and nothing of it runs for over three seconds.
 pub fn hopeless(setting: Setting) -> Verdict {
@@ -262,6 +215,62 @@
     })
 }
 
+/// LOST: a runner is lost for good, and then the owner of the pool. The next owner must start the task again; it may
+/// not leave it for 3 s, `finish_s` after the traffic, while the other runners are free.
+pub fn late_owner(setting: Setting) -> Verdict {
+    const ID: &str = "10a7000000000001";
+    const RUNNERS: usize = 16;
+    const RUN_MS: u64 = 6_000;
+    const DOWN_MS: u64 = 3_500;
+    const FINISH_MS: u64 = 14_000;
+    const IDLE_MAX_MS: u64 = 3_000;
+    let runners = setting.runners(RUNNERS);
+    let queues = [Queue {
+        name: "batch",
+        priority: 2,
+        attempts: 3,
+    }];
+    setting.play(&queues, |hosts| {
+        let body = job(&format!("work={RUN_MS}"), vec![step(1, RUN_MS, &[])]);
+        if !hosts.submit(&format!("/batch/{ID}"), &body) {
+            return Err("the job was not accepted".to_owned());
+        }
+        let traffic_end_ms = setting.record.now_ms();
+        setting.record.line("end of the traffic");
+        let mut killed = None;
+        if setting.trouble {
+            thread::sleep(Duration::from_millis(1_000));
+            let runner = runners.iter().find(|runner| runner.runs_task_of(ID));
+            runner.ok_or("the task isn't running")?.vanish();
+            thread::sleep(Duration::from_millis(1_000));
+            let owner = hosts.owner().ok_or("no host owns the pool")?;
+            hosts.kill(owner);
+            killed = Some((owner, setting.record.now_ms()));
+        }
+        let (mut idle_since, mut longest_ms) = (None, 0);
+        while setting.ends(ID, "done") == 0 && setting.record.now_ms() < traffic_end_ms + 60_000 {
+            thread::sleep(Duration::from_millis(20));
+            let now_ms = setting.record.now_ms();
+            if let Some((owner, _)) = killed.filter(|(_, at_ms)| now_ms >= at_ms + DOWN_MS) {
+                hosts.restart(owner);
+                killed = None;
+            }
+            let runs = runners.iter().any(|runner| runner.runs_task_of(ID));
+            if runs || now_ms < traffic_end_ms + FINISH_MS {
+                idle_since = None;
+                continue;
+            }
+            longest_ms = longest_ms.max(now_ms - *idle_since.get_or_insert(now_ms));
+        }
+        hosts.state(&format!("/batch/{ID}"));
+        let summary = format!(
+            "the job had nothing running for {longest_ms} ms later than finish_s after the traffic, while all runners were free"
+        );
+        setting.record.line(&summary);
+        Ok((longest_ms > IDLE_MAX_MS).then_some(summary))
+    })
+}
+
 /// DRAIN: the owner of the pool is killed when it has stored a placement and before its start has gone out,
 /// and the next one when it claims the pool. The runner has said meanwhile that it is draining. The owner
 /// after them must not start the task there.
--- a/review/standin-2/hosts.rs
+++ b/review/standin-2/hosts.rs
@@ -290,15 +290,6 @@
     labelled_step(count, estimated_ms, after, "")
 }
 
-/// Returns a step of one task that lasts until its job is cancelled.
-pub fn lasting_step() -> Json {
-    let Json::Obj(mut rows) = step(1, 0, &[]) else {
-        return Json::Null;
-    };
-    rows.push(("longRunning".to_owned(), Json::Bool(true)));
-    Json::Obj(rows)
-}
-
 /// Returns such a step for runners with a label; for any runner if it is empty.
 pub fn labelled_step(count: u64, estimated_ms: u64, after: &[u64], label: &str) -> Json {
     let mut rows = vec![
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -27,7 +27,7 @@
     let verdict = match case.as_str() {
         "crashes" => cases::crashes(setting),
         "draining" => cases::draining(setting),
-        "lasting" => cases::lasting(setting),
+        "late-owner" => cases::late_owner(setting),
         "memory" => cases::memory(setting),
         "hopeless" => cases::hopeless(setting),
         _ => Err(format!("there is no case {case}")),
--- a/review/standin-2/runner.rs
+++ b/review/standin-2/runner.rs
@@ -211,6 +211,13 @@
         self.record.line(format!("runner {} crashes", self.id));
     }
 
+    /// Ends the process for good: its entry goes after three missed reports.
+    pub fn vanish(&self) {
+        self.crash();
+        thread::sleep(Duration::from_millis(3 * REPORT_MS));
+        self.store.put("keyed.servers", &self.id, None);
+    }
+
     /// Starts the process again, under the same id and at the same address.
     pub fn restart(&self) {
         *self.life.lock().unwrap() = Life::new();
