--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -o target/review-2/cases review/standin-2/main.rs
+rustc --edition 2024 -O -o target/review-2/cases review/second_main.rs
--- a/review/standin-2/main.rs
+++ b/review/second_main.rs
@@ -4,12 +4,19 @@
 //! Usage: `cases CASE PROGRAM FOLDER`. The record goes to `FOLDER/record.txt`. With `TROUBLE=0` the
 //! disruption is left out. Exit status: 0 if the rule held, 1 if it was broken, 2 if the case couldn't run.
 
+#[path = "second_cases.rs"]
 mod cases;
+#[path = "second_hosts.rs"]
 mod hosts;
+#[path = "second_http.rs"]
 mod http;
+#[path = "second_json.rs"]
 mod json;
+#[path = "second_record.rs"]
 mod record;
+#[path = "second_runner.rs"]
 mod runner;
+#[path = "second_store.rs"]
 mod store;
 
 use std::path::PathBuf;
