Group the work modules into rooms and open their rings

Cause: src/work was 37 files beside each other; follow, host_context, peers, relay and store_health formed a ring, and admission and job_service, job_state and task_rows needed each other twice.

Change: rooms by concern (model, placing, load, store, peers, state, calls, owner, owner_loop); the clock and the store's time limits are leaves; call types, unit state and the conversion of rows have files of their own. No behaviour changes. The default log target of moved modules follows their new path; targets that operators filter by stay.

--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -13,7 +13,7 @@
 use crate::tables::ticket::TicketSpec;
 use crate::wire::api::{AuditFilter, ChangeView, ExplainView, HostsView, JobView, TicketView};
 use crate::wire::log::HostState;
-use crate::work::stream::{KeyedValue, StoreCall, StoreFailure, StoreReply};
+use crate::work::model::stream::{KeyedValue, StoreCall, StoreFailure, StoreReply};
 
 /// One frame.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/src/work/admission.rs
+++ b/src/work/calls/admission.rs
@@ -10,10 +10,10 @@
 
 use tokio::time::timeout;
 
-use crate::tables::name::ObjectName;
-use crate::work::config::{CallerIdentity, QueueRule, RouteRow, WorkConfig};
-use crate::work::host_context::steady_ms;
-use crate::work::job_service::{CHECK_TIMEOUT_MS, CallRefusal, JobService};
+use crate::work::calls::call::{AdmittedCall, CallHead, CallRefusal};
+use crate::work::calls::job_service::{CHECK_TIMEOUT_MS, JobService};
+use crate::work::clock::steady_ms;
+use crate::work::model::config::{CallerIdentity, RouteRow, WorkConfig};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 
 /// Age of the configuration above which it is refreshed before a call is admitted.
@@ -30,36 +30,6 @@
 /// Part of the caller's timeout that is reserved for the response to travel back.
 const ANSWER_RESERVE_MS: u64 = 400;
 
-/// A caller's request, without its body.
-#[derive(Clone, Debug)]
-pub struct CallHead {
-    /// Host name that the caller used, without a port.
-    pub host: String,
-    pub path: String,
-    /// API key, if the caller sent one.
-    pub key: Option<String>,
-    /// Time that the caller waits for the response, in ms.
-    pub timeout_ms: u64,
-}
-
-/// A call that passed admission.
-#[derive(Clone, Debug)]
-pub struct AdmittedCall {
-    pub queue: ObjectName,
-    /// Version of the configuration that admitted the call.
-    pub config_version: u64,
-    /// The queue's scheduling policy.
-    pub rule: QueueRule,
-    /// The caller's team; none on a public route without a known key.
-    pub team: Option<ObjectName>,
-    /// The path after the route's prefix.
-    pub subpath: String,
-    /// When the answer or refusal is due, steady ms.
-    pub deadline_ms: u64,
-    /// Maximum body size, in bytes.
-    pub body_max_bytes: usize,
-}
-
 impl<S: StorePort, O: OrderPort, R: RecordReader> JobService<S, O, R> {
     /// Admits a call: matches its route and checks its key.
     ///
--- a/src/work/job_service.rs
+++ b/src/work/calls/job_service.rs
@@ -11,12 +11,13 @@
 use tokio::time::timeout;
 
 use crate::tables::name::ObjectName;
-use crate::work::admission::AdmittedCall;
-use crate::work::host_context::{HostContext, host_time, steady_ms};
+use crate::work::calls::call::{AdmittedCall, CallRefusal};
+use crate::work::clock::{host_time, steady_ms};
+use crate::work::model::record::{JobPhase, JobRecord, WorkRecord};
+use crate::work::model::spec::WorkSpec;
+use crate::work::model::stream::{KeyedValue, StoreFailure};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
-use crate::work::record::{JobPhase, JobRecord, WorkRecord};
-use crate::work::spec::WorkSpec;
-use crate::work::stream::{KeyedValue, StoreFailure};
+use crate::work::state::context::HostContext;
 
 /// The module's former path, kept as the log target because operators filter by it.
 const LOG_TARGET: &str = "hemlockramp::work::desk";
@@ -26,27 +27,6 @@
 /// Timeout of a refresh from the store.
 pub(super) const CHECK_TIMEOUT_MS: u64 = 1_200;
 
-/// Why a call is refused.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum CallRefusal {
-    /// No route matches the host and path.
-    UnknownRoute,
-    /// The key belongs to no team.
-    UnknownKey,
-    /// No job has this id.
-    UnknownJob,
-    /// Nothing was stored and nothing will run; the caller may retry.
-    NotRun {
-        /// Delay after which the caller should retry, in ms.
-        retry_ms: u64,
-        reason: String,
-    },
-    /// Nothing was stored, and the same call can never succeed; the text is the reason.
-    NotStorable(String),
-    /// The record may or may not have been stored.
-    Unsure,
-}
-
 /// Serves callers' requests on one host. Clones share the host's state.
 pub struct JobService<S, O, R> {
     pub(super) context: Rc<HostContext<S, O, R>>,
--- /dev/null
+++ b/src/work/calls/mod.rs
@@ -0,0 +1,5 @@
+//! Callers' requests: admission, submission, status and cancellation.
+
+pub mod admission;
+pub mod call;
+pub mod job_service;
--- a/src/work/clock.rs
+++ b/src/work/clock.rs
@@ -1,5 +1,8 @@
 //! Clocks of hosts and upstreams, and bounds on their drift.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use rustix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// Assumed maximum by which an upstream's clock runs slow, in thousandths.
@@ -14,6 +17,21 @@
     pub wall_ms: u64,
 }
 
+/// Returns the time since boot, in ms, including time that the host was suspended.
+pub fn steady_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
+
+/// Reads the steady and the wall clock.
+pub fn host_time() -> HostTime {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+    HostTime {
+        steady_ms: steady_ms(),
+        wall_ms: wall.map_or(0, |since| since.as_millis() as u64),
+    }
+}
+
 /// A reading of an upstream's clock, with its arrival time at this host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClockReading {
--- a/src/work/host.rs
+++ b/src/work/host.rs
@@ -6,14 +6,15 @@
 
 use tokio::net::TcpListener;
 
-use crate::work::follow::{FollowReply, StreamFollower, StreamSink};
-use crate::work::host_context::{HostContext, HostIdentity, steady_ms};
-use crate::work::job_service::JobService;
+use crate::work::calls::job_service::JobService;
+use crate::work::clock::steady_ms;
+use crate::work::model::record::{HostRecord, WorkRecord};
+use crate::work::model::stream::{KeyedValue, StoreCall, StoreFailure, StreamName, StreamRecord};
 use crate::work::owner_loop::run_owner_loop;
-use crate::work::peers::{PeerService, PeerSet, serve_peers};
+use crate::work::peers::links::{PeerService, PeerSet, serve_peers};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
-use crate::work::record::{HostRecord, WorkRecord};
-use crate::work::stream::{KeyedValue, StoreCall, StoreFailure, StreamName, StreamRecord};
+use crate::work::state::context::{HostContext, HostIdentity};
+use crate::work::store::follow::{FollowReply, StreamFollower, StreamSink};
 
 /// Delay between two reads of the jobs stream on a host that does not own the pool.
 const JOBS_PAUSE_MS: u64 = 200;
--- a/src/work/victims.rs
+++ b/src/work/load/victims.rs
@@ -7,8 +7,10 @@
 use std::cmp::Reverse;
 
 use crate::tables::name::ObjectName;
-use crate::work::amount::ResourceAmount;
-use crate::work::placement::{CandidateUpstream, CapacityClaim, UnitDemand, max_task_slots};
+use crate::work::model::amount::ResourceAmount;
+use crate::work::placing::placement::{
+    CandidateUpstream, CapacityClaim, UnitDemand, max_task_slots,
+};
 
 /// A running unit that may be preempted.
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/src/work/model/mod.rs
@@ -0,0 +1,10 @@
+//! Entities that the scheduler decides about, and the records in which they are stored.
+
+pub mod amount;
+pub mod config;
+pub mod crash_record;
+pub mod record;
+pub mod spec;
+pub mod stream;
+pub mod task_ref;
+pub mod upstream;
--- a/src/work/record.rs
+++ b/src/work/model/record.rs
@@ -8,10 +8,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::tables::name::ObjectName;
-use crate::work::config::QueueRule;
-use crate::work::crash_record::CrashRecord;
-use crate::work::spec::WorkSpec;
-use crate::work::stream::KeyedValue;
+use crate::work::model::config::QueueRule;
+use crate::work::model::crash_record::CrashRecord;
+use crate::work::model::spec::WorkSpec;
+use crate::work::model::stream::KeyedValue;
 
 /// The module's former path, kept as the log target because operators filter by it.
 const LOG_TARGET: &str = "hemlockramp::work::fact";
--- a/src/work/spec.rs
+++ b/src/work/model/spec.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::tables::name::ObjectName;
-use crate::work::amount::ResourceAmount;
+use crate::work::model::amount::ResourceAmount;
 
 /// Maximum number of steps of a job.
 const STEPS_MAX: usize = 64;
--- a/src/work/upstream.rs
+++ b/src/work/model/upstream.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use crate::tables::name::ObjectName;
-use crate::work::amount::ResourceAmount;
-use crate::work::task_ref::TaskRef;
+use crate::work::model::amount::ResourceAmount;
+use crate::work::model::task_ref::TaskRef;
 
 /// The report that an upstream publishes about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/work/owner/cancel.rs
+++ b/src/work/owner/cancel.rs
@@ -1,8 +1,8 @@
 //! Cancellation of jobs.
 
 use crate::tables::name::ObjectName;
+use crate::work::model::record::JobPhase;
 use crate::work::owner::PoolOwner;
-use crate::work::record::JobPhase;
 
 impl PoolOwner {
     /// Cancels a job: starts no more of its tasks and stops the running ones.
--- a/src/work/crash_history.rs
+++ b/src/work/owner/crash_history.rs
@@ -6,8 +6,8 @@
 //! given up. From its second lost run on, a unit therefore runs alone on its upstreams, so that
 //! neither does it harm other work nor counts a crash that other work has caused.
 
-use crate::work::crash_record::{CrashRecord, LossRecord, UpstreamLife};
-use crate::work::placement::Isolation;
+use crate::work::model::crash_record::{CrashRecord, LossRecord, UpstreamLife};
+use crate::work::placing::placement::Isolation;
 
 /// Proved crashes under a task after which it is given up.
 const PROVED_CRASHES_MAX: u32 = 3;
--- a/src/work/owner/crashes.rs
+++ b/src/work/owner/crashes.rs
@@ -1,11 +1,11 @@
 //! Runs that are lost with their upstream, and units that are given up for it.
 
 use crate::tables::name::ObjectName;
-use crate::work::crash_record::{LossRecord, UpstreamLife};
+use crate::work::model::crash_record::{LossRecord, UpstreamLife};
+use crate::work::model::record::JobPhase;
 use crate::work::owner::PoolOwner;
-use crate::work::owner::job_state::{MemberPhase, UnitPhase};
+use crate::work::owner::unit_state::{MemberPhase, UnitPhase};
 use crate::work::owner::upstream_state::UpstreamState;
-use crate::work::record::JobPhase;
 
 /// Run time after which a lasting task counts as one that does not crash its upstreams, in ms.
 const STEADY_RUN_MS: u64 = 10_000;
--- a/src/work/owner/ends.rs
+++ b/src/work/owner/ends.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use crate::tables::name::ObjectName;
+use crate::work::model::record::JobPhase;
+use crate::work::model::upstream::{EndKind, EndedTask};
 use crate::work::owner::PoolOwner;
-use crate::work::owner::job_state::UnitPhase;
 use crate::work::owner::renewals::UNRECORDED_RENEW_PAUSE_MS;
-use crate::work::record::JobPhase;
-use crate::work::upstream::{EndKind, EndedTask};
+use crate::work::owner::unit_state::UnitPhase;
 
 /// The former module path; operators filter log lines by it.
 const LOG_TARGET: &str = "hemlockramp::work::owner::replies";
--- a/src/work/owner/fencing.rs
+++ b/src/work/owner/fencing.rs
@@ -1,7 +1,7 @@
 //! Fencing tokens of orders, and what an upstream's refusal of one proves.
 
+use crate::work::model::upstream::{OrderTarget, StartOrder};
 use crate::work::owner::PoolOwner;
-use crate::work::upstream::{OrderTarget, StartOrder};
 
 impl PoolOwner {
     /// Returns whether an order carries the owner's newest token for its upstream. An older one was
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -5,6 +5,7 @@
 //! into batches, and both wait until their batch is durable.
 
 pub mod cancel;
+pub mod crash_history;
 mod crashes;
 mod ends;
 mod fencing;
@@ -18,9 +19,11 @@
 pub mod renewals;
 pub mod replies;
 mod restore;
+mod row_records;
 pub mod task_rows;
 mod team_usage;
 mod timing;
+pub mod unit_state;
 pub mod upstream_state;
 
 pub use recording::RowBatch;
@@ -31,13 +34,14 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::clock::{ClockReading, HostTime, drift_safe_wait_ms};
-use crate::work::config::WorkConfig;
-use crate::work::owner::job_state::{JobState, MemberPhase, UnitPhase};
+use crate::work::model::config::WorkConfig;
+use crate::work::model::record::JobPhase;
+use crate::work::model::stream::KeyedValue;
+use crate::work::model::upstream::{RenewOrder, StartOrder, StopOrder, UpstreamReport};
+use crate::work::owner::job_state::JobState;
 use crate::work::owner::loss_proof::LossProof;
+use crate::work::owner::unit_state::{MemberPhase, UnitPhase};
 use crate::work::owner::upstream_state::{LEASE_EXPIRY_MARGIN_MS, UpstreamState};
-use crate::work::record::JobPhase;
-use crate::work::stream::KeyedValue;
-use crate::work::upstream::{RenewOrder, StartOrder, StopOrder, UpstreamReport};
 
 /// Longest time between two placement rounds, in ms.
 const PLACEMENT_INTERVAL_MAX_MS: u64 = 250;
--- a/src/work/owner/placement_pool.rs
+++ b/src/work/owner/placement_pool.rs
@@ -1,9 +1,9 @@
 //! The schedulable upstreams of one pool, updated during a placement round.
 
 use crate::tables::name::ObjectName;
-use crate::work::amount::ResourceAmount;
-use crate::work::headroom::required_headroom;
-use crate::work::placement::{CandidateUpstream, UnitDemand};
+use crate::work::model::amount::ResourceAmount;
+use crate::work::placing::headroom::required_headroom;
+use crate::work::placing::placement::{CandidateUpstream, UnitDemand};
 
 /// Share of the capacity in use above which a pool counts as busy, in thousandths.
 const BUSY_SHARE_MILLI: u64 = 450;
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -1,21 +1,21 @@
 //! Placement rounds over all waiting units.
 
 use crate::tables::name::ObjectName;
-use crate::work::amount::ResourceAmount;
-use crate::work::config::QueueRule;
-use crate::work::locality_wait::LocalityWait;
+use crate::work::load::queue_order::{OrderKey, WaitingUnit, order_key};
+use crate::work::model::amount::ResourceAmount;
+use crate::work::model::config::QueueRule;
 use crate::work::owner::PoolOwner;
-use crate::work::owner::job_state::{MemberPhase, MemberState, UnitPhase};
 use crate::work::owner::placement_pool::PlacementPool;
 use crate::work::owner::preemption::BlockedUnit;
 use crate::work::owner::team_usage::TeamUsage;
+use crate::work::owner::unit_state::{MemberPhase, MemberState, UnitPhase};
 use crate::work::owner::upstream_state::HeldTask;
-use crate::work::placement::{
+use crate::work::placing::locality_wait::LocalityWait;
+use crate::work::placing::placement::{
     CandidateUpstream, CapacityClaim, Isolation, UnitDemand, claim_rank, fits_in_one_rack,
     place_unit,
 };
-use crate::work::queue_order::{OrderKey, WaitingUnit, order_key};
-use crate::work::slowdown::SpeedPreference;
+use crate::work::placing::slowdown::SpeedPreference;
 
 /// Guaranteed units for which one round searches capacity separately.
 const GUARANTEED_UNITS_MAX: usize = 6;
--- a/src/work/owner/preemption.rs
+++ b/src/work/owner/preemption.rs
@@ -1,12 +1,12 @@
 //! Reservations and preemption for units that do not fit.
 
 use crate::tables::name::ObjectName;
+use crate::work::load::queue_order::WaitingUnit;
+use crate::work::load::victims::{VictimUnit, choose_victims};
 use crate::work::owner::PoolOwner;
-use crate::work::owner::job_state::UnitPhase;
 use crate::work::owner::placement_pool::PlacementPool;
-use crate::work::placement::{CandidateUpstream, CapacityClaim, UnitDemand, place_unit};
-use crate::work::queue_order::WaitingUnit;
-use crate::work::victims::{VictimUnit, choose_victims};
+use crate::work::owner::unit_state::UnitPhase;
+use crate::work::placing::placement::{CandidateUpstream, CapacityClaim, UnitDemand, place_unit};
 
 /// The former module path; operators filter log lines by it.
 const LOG_TARGET: &str = "hemlockramp::work::owner::make_room";
--- a/src/work/owner/reconcile.rs
+++ b/src/work/owner/reconcile.rs
@@ -2,13 +2,13 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::clock::drift_safe_wait_ms;
+use crate::work::model::record::JobPhase;
+use crate::work::model::task_ref::TaskRef;
+use crate::work::model::upstream::RenewReply;
 use crate::work::owner::PoolOwner;
-use crate::work::owner::job_state::{MemberPhase, StopProgress, UnitPhase};
 use crate::work::owner::loss_proof::LossProof;
+use crate::work::owner::unit_state::{MemberPhase, StopProgress, UnitPhase};
 use crate::work::owner::upstream_state::HeldTask;
-use crate::work::record::JobPhase;
-use crate::work::task_ref::TaskRef;
-use crate::work::upstream::RenewReply;
 
 /// Shortest time between two slowdown samples of an upstream, in ms.
 const SLOWDOWN_SAMPLE_INTERVAL_MS: u64 = 500;
--- a/src/work/owner/recording.rs
+++ b/src/work/owner/recording.rs
@@ -1,9 +1,9 @@
 //! Batches of rows to record, and what may be done once they are stored.
 
+use crate::work::model::record::{JobPhase, WorkRecord, job_of_row};
+use crate::work::model::stream::KeyedValue;
 use crate::work::owner::PoolOwner;
 use crate::work::owner::job_state::JobState;
-use crate::work::record::{JobPhase, WorkRecord, job_of_row};
-use crate::work::stream::KeyedValue;
 
 /// Rows that must be stored before the orders of the same batch go out.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/src/work/owner/renewals.rs
+++ b/src/work/owner/renewals.rs
@@ -4,10 +4,10 @@
 //! are not renewed, and its tasks run elsewhere only once the leases are over on the upstream's
 //! own, possibly slower clock.
 
-use crate::work::owner::job_state::{MemberPhase, StopProgress, UnitPhase};
+use crate::work::model::upstream::{RenewOrder, StartOrder, StopOrder};
 use crate::work::owner::loss_proof::LossProof;
+use crate::work::owner::unit_state::{MemberPhase, StopProgress, UnitPhase};
 use crate::work::owner::{PendingStart, PoolOwner, UpstreamOrder};
-use crate::work::upstream::{RenewOrder, StartOrder, StopOrder};
 
 /// How long an upstream may hold a renewal open until a run ends, in ms.
 const RENEW_WAIT_MS: u64 = 1_500;
--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -2,14 +2,14 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::clock::ClockReading;
-use crate::work::owner::job_state::{MemberPhase, StopProgress};
-use crate::work::owner::{PoolOwner, UpstreamOrder};
-use crate::work::record::JobPhase;
-use crate::work::task_ref::TaskRef;
-use crate::work::upstream::{
+use crate::work::model::record::JobPhase;
+use crate::work::model::task_ref::TaskRef;
+use crate::work::model::upstream::{
     OrderFailure, RenewOrder, RenewReply, RunningTask, StartOrder, StartOutcome, StartRefusal,
     StopOrder,
 };
+use crate::work::owner::unit_state::{MemberPhase, StopProgress};
+use crate::work::owner::{PoolOwner, UpstreamOrder};
 
 /// How long an upstream that refused a start gets no new work, in ms.
 const REFUSAL_QUARANTINE_MS: u64 = 2_000;
--- a/src/work/owner/restore.rs
+++ b/src/work/owner/restore.rs
@@ -3,10 +3,10 @@
 use std::rc::Rc;
 
 use crate::tables::name::ObjectName;
+use crate::work::model::record::{JobPhase, JobRecord, RunRow};
 use crate::work::owner::PoolOwner;
 use crate::work::owner::job_state::JobState;
 use crate::work::owner::upstream_state::HeldTask;
-use crate::work::record::{JobPhase, JobRecord, RunRow};
 
 impl PoolOwner {
     /// Adds a job, with the rows of its tasks that an earlier owner recorded, sorted by number.
--- a/src/work/owner/team_usage.rs
+++ b/src/work/owner/team_usage.rs
@@ -1,10 +1,10 @@
 //! Usage of teams and urgent work, compared with the teams' guarantees.
 
 use crate::tables::name::ObjectName;
-use crate::work::amount::ResourceAmount;
+use crate::work::model::amount::ResourceAmount;
 use crate::work::owner::PoolOwner;
-use crate::work::owner::job_state::{MemberPhase, MemberState};
-use crate::work::placement::claim_rank;
+use crate::work::owner::unit_state::{MemberPhase, MemberState};
+use crate::work::placing::placement::claim_rank;
 
 /// Accelerators held by a team's urgent jobs.
 pub(super) struct TeamUsage {
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddr;
 
 use crate::tables::name::ObjectName;
-use crate::work::amount::ResourceAmount;
 use crate::work::clock::{ClockReading, drift_safe_wait_ms};
-use crate::work::crash_record::UpstreamLife;
+use crate::work::model::amount::ResourceAmount;
+use crate::work::model::crash_record::UpstreamLife;
+use crate::work::model::upstream::{OrderTarget, UpstreamReport};
 use crate::work::owner::OwnerTiming;
-use crate::work::placement::CapacityClaim;
-use crate::work::slowdown::UpstreamSlowdown;
-use crate::work::upstream::{OrderTarget, UpstreamReport};
+use crate::work::placing::placement::CapacityClaim;
+use crate::work::placing::slowdown::UpstreamSlowdown;
 
 /// Time after a lease's end by which its tasks have certainly stopped, in ms.
 pub(super) const LEASE_EXPIRY_MARGIN_MS: u64 = 250;
--- a/src/work/claim.rs
+++ b/src/work/owner_loop/claim.rs
@@ -5,16 +5,17 @@
 use eyre::{Report, ensure, eyre};
 
 use crate::tables::name::ObjectName;
-use crate::work::claimed_term::ClaimedTerm;
-use crate::work::follow::list_newest;
-use crate::work::host_context::{HostContext, host_time, steady_ms};
-use crate::work::owner::PoolOwner;
-use crate::work::owner_election::next_term;
-use crate::work::ports::{OrderPort, RecordReader, StorePort};
-use crate::work::record::{OwnerRecord, RunRow, WorkRecord, decode_run_row};
-use crate::work::stream::{
+use crate::work::clock::{host_time, steady_ms};
+use crate::work::model::record::{OwnerRecord, RunRow, WorkRecord, decode_run_row};
+use crate::work::model::stream::{
     KeyedValue, StoreCall, StoreFailure, StreamName, StreamRecord, WriterStamp,
 };
+use crate::work::owner::PoolOwner;
+use crate::work::owner_loop::claimed_term::ClaimedTerm;
+use crate::work::ports::{OrderPort, RecordReader, StorePort};
+use crate::work::state::context::HostContext;
+use crate::work::state::election::next_term;
+use crate::work::store::follow::list_newest;
 
 /// Writer name shared by all owners; a later epoch of it fences earlier ones.
 const OWNER_WRITER: &str = "owner";
--- a/src/work/owner_loop/job_rows.rs
+++ b/src/work/owner_loop/job_rows.rs
@@ -1,6 +1,6 @@
 //! What the owner has queued for the jobs stream.
 
-use crate::work::stream::KeyedValue;
+use crate::work::model::stream::KeyedValue;
 
 /// Records queued for the jobs stream, and the keys of finished jobs' rows in the runs stream, which
 /// may be dropped once these are stored.
--- a/src/work/owner_loop/jobs_item.rs
+++ b/src/work/owner_loop/jobs_item.rs
@@ -1,8 +1,8 @@
 //! A record on its way to the jobs stream.
 
-use crate::work::group_commit::PendingRecord;
+use crate::work::model::stream::{KeyedValue, StoreFailure};
 use crate::work::owner_loop::writer::AppendItem;
-use crate::work::stream::{KeyedValue, StoreFailure};
+use crate::work::store::group_commit::PendingRecord;
 
 /// A record for the jobs stream.
 #[derive(Debug)]
--- a/src/work/owner_loop/mod.rs
+++ b/src/work/owner_loop/mod.rs
@@ -5,6 +5,8 @@
 //! confirmed within the ownership timeout. It releases the pool when its host shuts down or a
 //! large host can replace a small one.
 
+mod claim;
+mod claimed_term;
 mod job_rows;
 mod jobs_item;
 mod orders;
@@ -18,21 +20,22 @@
 
 use tokio::sync::Notify;
 
-use crate::work::claim::{claim, owner_record};
-use crate::work::claimed_term::ClaimedTerm;
-use crate::work::follow::StreamFollower;
-use crate::work::group_commit::PendingRecord;
-use crate::work::host_context::{HostContext, host_time, steady_ms};
+use crate::work::clock::{host_time, steady_ms};
+use crate::work::model::record::WorkRecord;
+use crate::work::model::stream::{KeyedValue, StoreFailure, StreamName, StreamRecord};
 use crate::work::owner::{PoolOwner, RowBatch};
-use crate::work::owner_election::should_step_down;
+use crate::work::owner_loop::claim::{claim, owner_record};
+use crate::work::owner_loop::claimed_term::ClaimedTerm;
 use crate::work::owner_loop::job_rows::JobRows;
 use crate::work::owner_loop::jobs_item::JobsItem;
 use crate::work::owner_loop::ownership::Ownership;
 use crate::work::owner_loop::report_sink::ReportSink;
 use crate::work::owner_loop::writer::{ItemOutcome, OwnerWriter};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
-use crate::work::record::WorkRecord;
-use crate::work::stream::{KeyedValue, StoreFailure, StreamName, StreamRecord};
+use crate::work::state::context::HostContext;
+use crate::work::state::election::should_step_down;
+use crate::work::store::follow::StreamFollower;
+use crate::work::store::group_commit::PendingRecord;
 
 /// Interval at which a host checks whether it should claim the pool.
 const ELECTION_POLL_MS: u64 = 50;
--- a/src/work/owner_loop/orders.rs
+++ b/src/work/owner_loop/orders.rs
@@ -1,6 +1,6 @@
 //! Sending of the owner's orders to the upstreams.
 
-use crate::work::host_context::steady_ms;
+use crate::work::clock::steady_ms;
 use crate::work::owner::UpstreamOrder;
 use crate::work::owner_loop::{OwnerLoop, UNCONFIRMED};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
--- a/src/work/owner_loop/ownership.rs
+++ b/src/work/owner_loop/ownership.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 
-use crate::work::claimed_term::ClaimedTerm;
+use crate::work::owner_loop::claimed_term::ClaimedTerm;
 
 /// The newest proof that no later owner has claimed the pool, and the time for which it holds. A
 /// later owner reckons with no orders from this one beyond that time.
--- a/src/work/owner_loop/report_sink.rs
+++ b/src/work/owner_loop/report_sink.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 
 use crate::tables::name::ObjectName;
-use crate::work::follow::{FollowReply, StreamSink};
-use crate::work::host_context::host_time;
+use crate::work::clock::host_time;
+use crate::work::model::stream::StreamRecord;
 use crate::work::owner_loop::OwnerLoop;
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
-use crate::work::stream::StreamRecord;
+use crate::work::store::follow::{FollowReply, StreamSink};
 
 /// The parent module's path; operators filter log lines by it.
 const LOG_TARGET: &str = "hemlockramp::work::owner_loop";
--- a/src/work/owner_loop/writer.rs
+++ b/src/work/owner_loop/writer.rs
@@ -4,10 +4,10 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::work::claim::stamp;
-use crate::work::host_context::HostContext;
+use crate::work::model::stream::{KeyedValue, StoreCall, StoreFailure, StoreReply, StreamName};
+use crate::work::owner_loop::claim::stamp;
 use crate::work::ports::StorePort;
-use crate::work::stream::{KeyedValue, StoreCall, StoreFailure, StoreReply, StreamName};
+use crate::work::state::context::HostContext;
 
 /// The parent module's path; operators filter log lines by it.
 const LOG_TARGET: &str = "hemlockramp::work::owner_loop";
--- a/src/work/peers.rs
+++ b/src/work/peers/links.rs
@@ -15,9 +15,9 @@
 use crate::daemons::peer_link::{PeerLink, decode_frame, encode_frame};
 use crate::routing::verdict::{CallFailure, RunVerdict};
 use crate::wire::peer::{PeerBody, PeerCall, PeerFrame, PeerReply};
-use crate::work::host_context::steady_ms;
+use crate::work::clock::steady_ms;
+use crate::work::model::stream::{KeyedValue, StoreCall, StoreFailure, StoreReply};
 use crate::work::ports::StorePort;
-use crate::work::stream::{KeyedValue, StoreCall, StoreFailure, StoreReply};
 
 /// Time for which a peer that failed is tried after all others.
 const FAILED_PEER_BACKOFF_MS: u64 = 2_000;
--- a/src/work/relay.rs
+++ b/src/work/peers/relay.rs
@@ -10,11 +10,11 @@
 
 use tokio::time::timeout;
 
-use crate::work::host_context::steady_ms;
-use crate::work::peers::PeerSet;
+use crate::work::clock::steady_ms;
+use crate::work::model::stream::{StoreCall, StoreFailure, StoreReply};
+use crate::work::peers::links::PeerSet;
 use crate::work::ports::StorePort;
-use crate::work::store_health::StoreHealth;
-use crate::work::stream::{StoreCall, StoreFailure, StoreReply};
+use crate::work::store::health::StoreHealth;
 
 /// Interval between two attempts of the direct path while it fails.
 const DIRECT_PROBE_INTERVAL_MS: u64 = 800;
--- a/src/work/headroom.rs
+++ b/src/work/placing/headroom.rs
@@ -5,7 +5,7 @@
 //! rack free. With headroom it starts at once, and less urgent work that has started runs to
 //! completion.
 
-use crate::work::amount::ResourceAmount;
+use crate::work::model::amount::ResourceAmount;
 
 /// Headroom left by the least urgent work, in thousandths of the capacity that urgent work holds.
 const BATCH_HEADROOM_MILLI: u64 = 1_000;
--- /dev/null
+++ b/src/work/placing/mod.rs
@@ -0,0 +1,6 @@
+//! Pure decisions on where units run.
+
+pub mod headroom;
+pub mod locality_wait;
+pub mod placement;
+pub mod slowdown;
--- a/src/work/placement.rs
+++ b/src/work/placing/placement.rs
@@ -6,8 +6,8 @@
 //! as long as some rack can hold it.
 
 use crate::tables::name::ObjectName;
-use crate::work::amount::ResourceAmount;
-use crate::work::slowdown::{SpeedPreference, UpstreamSlowdown};
+use crate::work::model::amount::ResourceAmount;
+use crate::work::placing::slowdown::{SpeedPreference, UpstreamSlowdown};
 
 /// An upstream that may take new work.
 #[derive(Clone, Debug)]
--- a/src/work/ports.rs
+++ b/src/work/ports.rs
@@ -3,9 +3,9 @@
 use std::future::Future;
 use std::time::Duration;
 
-use crate::work::config::WorkConfig;
-use crate::work::stream::{KeyedValue, StoreCall, StoreFailure, StoreReply};
-use crate::work::upstream::{
+use crate::work::model::config::WorkConfig;
+use crate::work::model::stream::{KeyedValue, StoreCall, StoreFailure, StoreReply};
+use crate::work::model::upstream::{
     OrderFailure, RenewOrder, RenewReply, StartOrder, StartOutcome, StopOrder, UpstreamReport,
 };
 
--- a/src/work/active_config.rs
+++ b/src/work/state/active_config.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use crate::work::config::WorkConfig;
+use crate::work::model::config::WorkConfig;
 
 /// The module's former path, kept as the log target because operators filter by it.
 const LOG_TARGET: &str = "hemlockramp::work::config_board";
--- a/src/work/host_context.rs
+++ b/src/work/state/context.rs
@@ -3,48 +3,30 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
-use rustix::time::{ClockId, clock_gettime};
 use tokio::sync::Notify;
 
 use crate::tables::name::ObjectName;
-use crate::work::active_config::ActiveConfig;
-use crate::work::clock::HostTime;
-use crate::work::follow::list_newest;
-use crate::work::group_commit::GroupCommitQueue;
-use crate::work::jobs_view::{JobsView, ViewChange};
-use crate::work::owner::{OwnerTiming, PoolOwner};
-use crate::work::owner_election::ElectionTimer;
-use crate::work::peers::PeerSet;
-use crate::work::ports::{RecordReader, StorePort};
-use crate::work::relay::RelayStore;
-use crate::work::store_limits::StoreLimits;
-use crate::work::stream::{
+use crate::work::clock::{host_time, steady_ms};
+use crate::work::model::stream::{
     KeyedValue, StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord,
 };
+use crate::work::owner::{OwnerTiming, PoolOwner};
+use crate::work::peers::links::PeerSet;
+use crate::work::peers::relay::RelayStore;
+use crate::work::ports::{RecordReader, StorePort};
+use crate::work::state::active_config::ActiveConfig;
+use crate::work::state::election::ElectionTimer;
+use crate::work::state::jobs_view::{JobsView, ViewChange};
+use crate::work::store::follow::list_newest;
+use crate::work::store::group_commit::GroupCommitQueue;
+use crate::work::store::limits::StoreLimits;
+use crate::work::store::timing::STORE_TIMEOUT_MS;
 
 /// The module's former path, kept as the log target because operators filter by it.
 const LOG_TARGET: &str = "hemlockramp::work::host_parts";
 
-/// Timeout of a store call, on top of the call's own wait.
-pub const STORE_TIMEOUT_MS: u64 = 900;
-
-/// Returns the time since boot, in ms, including time that the host was suspended.
-pub fn steady_ms() -> u64 {
-    let time = clock_gettime(ClockId::Boottime);
-    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
-}
-
-/// Reads the steady and the wall clock.
-pub fn host_time() -> HostTime {
-    let wall = SystemTime::now().duration_since(UNIX_EPOCH);
-    HostTime {
-        steady_ms: steady_ms(),
-        wall_ms: wall.map_or(0, |since| since.as_millis() as u64),
-    }
-}
-
 /// A host's identity, from its settings.
 #[derive(Clone, Debug)]
 pub struct HostIdentity {
--- a/src/work/owner_election.rs
+++ b/src/work/state/election.rs
@@ -5,7 +5,7 @@
 //! a small one is too slow for the whole pool under load.
 
 use crate::tables::name::ObjectName;
-use crate::work::jobs_view::{HostRow, OwnerRow};
+use crate::work::state::jobs_view::{HostRow, OwnerRow};
 
 /// Time without a heartbeat, counted while the store answers, after which other hosts may claim the
 /// pool, in ms.
--- a/src/work/jobs_view.rs
+++ b/src/work/state/jobs_view.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use crate::tables::name::ObjectName;
-use crate::work::record::{HostRecord, JobPhase, JobRecord, OwnerRecord, WorkRecord};
-use crate::work::stream::StreamRecord;
+use crate::work::model::record::{HostRecord, JobPhase, JobRecord, OwnerRecord, WorkRecord};
+use crate::work::model::stream::StreamRecord;
 
 /// The module's former path, kept as the log target because operators filter by it.
 const LOG_TARGET: &str = "hemlockramp::work::fact_table";
--- a/src/work/follow.rs
+++ b/src/work/store/follow.rs
@@ -2,13 +2,11 @@
 
 use std::time::Duration;
 
-use crate::work::host_context::{STORE_TIMEOUT_MS, steady_ms};
+use crate::work::clock::steady_ms;
+use crate::work::model::stream::{StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord};
 use crate::work::ports::StorePort;
-use crate::work::stream::{StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord};
+use crate::work::store::timing::{READ_WAIT_MS, STORE_TIMEOUT_MS};
 
-/// Long-poll time of a read at the store. It bounds for how long a silently broken connection
-/// can hide a change.
-pub(super) const READ_WAIT_MS: u64 = 600;
 /// Delay after a failed call.
 const RETRY_MS: u64 = 80;
 
--- a/src/work/group_commit.rs
+++ b/src/work/store/group_commit.rs
@@ -8,7 +8,7 @@
 
 use tokio::sync::{Notify, oneshot};
 
-use crate::work::stream::{KeyedValue, StoreFailure};
+use crate::work::model::stream::{KeyedValue, StoreFailure};
 
 /// Maximum number of records per append.
 const BATCH_MAX: usize = 200;
--- a/src/work/store_health.rs
+++ b/src/work/store/health.rs
@@ -4,7 +4,7 @@
 //! While it is unavailable, work that cannot be stored is refused at once, and no call is sent
 //! whose outcome would be unknown. A store that is slow but answers does not count as unavailable.
 
-use crate::work::follow::READ_WAIT_MS;
+use crate::work::store::timing::READ_WAIT_MS;
 
 /// How long an answer may be overdue before the store counts as unavailable, in ms.
 const ANSWER_OVERDUE_MS: u64 = 900;
--- a/src/work/store_limits.rs
+++ b/src/work/store/limits.rs
@@ -1,7 +1,7 @@
 //! Sizes that the store accepts, and the division of records into calls that keep to them.
 
-use crate::work::record::TASKS_PER_ROW;
-use crate::work::stream::KeyedValue;
+use crate::work::model::record::TASKS_PER_ROW;
+use crate::work::model::stream::KeyedValue;
 
 /// Largest sizes that the store accepts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/tests/crash_history.rs
+++ b/tests/crash_history.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use hemlockramp::tables::name::ObjectName;
-use hemlockramp::work::crash_history::CrashHistory;
-use hemlockramp::work::crash_record::{LossRecord, UpstreamLife};
-use hemlockramp::work::placement::Isolation;
+use hemlockramp::work::model::crash_record::{LossRecord, UpstreamLife};
+use hemlockramp::work::owner::crash_history::CrashHistory;
+use hemlockramp::work::placing::placement::Isolation;
 
 /// Waiting time after which isolation is no longer required, in ms: above the longest one.
 const LONG_WAIT_MS: u64 = 60_000;
--- a/tests/doubled_runs.rs
+++ b/tests/doubled_runs.rs
@@ -3,8 +3,8 @@
 
 mod support;
 
-use hemlockramp::work::amount::ResourceAmount;
-use hemlockramp::work::record::JobPhase;
+use hemlockramp::work::model::amount::ResourceAmount;
+use hemlockramp::work::model::record::JobPhase;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use support::pool_sim::{FaultRates, Listing, PoolSim, step};
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -5,17 +5,17 @@
 use std::time::Duration;
 
 use hemlockramp::tables::name::ObjectName;
-use hemlockramp::work::config::WorkConfig;
-use hemlockramp::work::follow::{FollowReply, StreamFollower, StreamSink};
-use hemlockramp::work::host_context::{HostContext, HostIdentity};
-use hemlockramp::work::owner::OwnerTiming;
-use hemlockramp::work::peers::PeerSet;
-use hemlockramp::work::ports::{RecordReader, StorePort};
-use hemlockramp::work::store_limits::StoreLimits;
-use hemlockramp::work::stream::{
+use hemlockramp::work::model::config::WorkConfig;
+use hemlockramp::work::model::stream::{
     KeyedValue, StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord,
 };
-use hemlockramp::work::upstream::UpstreamReport;
+use hemlockramp::work::model::upstream::UpstreamReport;
+use hemlockramp::work::owner::OwnerTiming;
+use hemlockramp::work::peers::links::PeerSet;
+use hemlockramp::work::ports::{RecordReader, StorePort};
+use hemlockramp::work::state::context::{HostContext, HostIdentity};
+use hemlockramp::work::store::follow::{FollowReply, StreamFollower, StreamSink};
+use hemlockramp::work::store::limits::StoreLimits;
 
 /// A store whose answers to reads hold a limited number of records.
 #[derive(Clone)]
--- a/tests/owner_terms.rs
+++ b/tests/owner_terms.rs
@@ -3,13 +3,13 @@
 
 mod support;
 
-use hemlockramp::work::amount::ResourceAmount;
 use hemlockramp::work::clock::HostTime;
-use hemlockramp::work::owner::{PoolOwner, UpstreamOrder};
-use hemlockramp::work::record::JobPhase;
-use hemlockramp::work::upstream::{
+use hemlockramp::work::model::amount::ResourceAmount;
+use hemlockramp::work::model::record::JobPhase;
+use hemlockramp::work::model::upstream::{
     OrderFailure, RenewOrder, StartOrder, StartOutcome, StartRefusal, StopOrder,
 };
+use hemlockramp::work::owner::{PoolOwner, UpstreamOrder};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use support::pool_sim::{PoolSim, step};
--- a/tests/paused_owner.rs
+++ b/tests/paused_owner.rs
@@ -7,21 +7,21 @@
 
 use futures_util::future::join_all;
 use hemlockramp::tables::name::ObjectName;
-use hemlockramp::work::amount::ResourceAmount;
-use hemlockramp::work::config::{QueueRule, WorkConfig};
 use hemlockramp::work::host::EntryHost;
-use hemlockramp::work::host_context::HostIdentity;
-use hemlockramp::work::owner::OwnerTiming;
-use hemlockramp::work::owner_election::next_term;
-use hemlockramp::work::ports::RecordReader;
-use hemlockramp::work::record::{
+use hemlockramp::work::model::amount::ResourceAmount;
+use hemlockramp::work::model::config::{QueueRule, WorkConfig};
+use hemlockramp::work::model::record::{
     AssignmentRecord, JobRecord, OwnerRecord, RunRecord, RunRow, UnitRecord, WorkRecord,
     encode_run_row,
 };
-use hemlockramp::work::spec::{StepSpec, WorkSpec};
-use hemlockramp::work::store_limits::StoreLimits;
-use hemlockramp::work::stream::{KeyedValue, StreamName};
-use hemlockramp::work::upstream::UpstreamReport;
+use hemlockramp::work::model::spec::{StepSpec, WorkSpec};
+use hemlockramp::work::model::stream::{KeyedValue, StreamName};
+use hemlockramp::work::model::upstream::UpstreamReport;
+use hemlockramp::work::owner::OwnerTiming;
+use hemlockramp::work::ports::RecordReader;
+use hemlockramp::work::state::context::HostIdentity;
+use hemlockramp::work::state::election::next_term;
+use hemlockramp::work::store::limits::StoreLimits;
 use support::memory_store::{HeldReads, MemoryStore};
 use support::order_log::OrderLog;
 use tokio::net::TcpListener;
--- a/tests/pool_owner.rs
+++ b/tests/pool_owner.rs
@@ -3,9 +3,9 @@
 
 mod support;
 
-use hemlockramp::work::amount::ResourceAmount;
-use hemlockramp::work::record::JobPhase;
-use hemlockramp::work::upstream::EndKind;
+use hemlockramp::work::model::amount::ResourceAmount;
+use hemlockramp::work::model::record::JobPhase;
+use hemlockramp::work::model::upstream::EndKind;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use support::pool_sim::{CrashCourse, FaultRates, PoolSim, STOP_MS, TIMING, lasting_step, step};
--- a/tests/reclaim.rs
+++ b/tests/reclaim.rs
@@ -6,9 +6,9 @@
 use std::rc::Rc;
 
 use hemlockramp::tables::name::ObjectName;
-use hemlockramp::work::amount::ResourceAmount;
-use hemlockramp::work::config::TeamRule;
-use hemlockramp::work::spec::StepSpec;
+use hemlockramp::work::model::amount::ResourceAmount;
+use hemlockramp::work::model::config::TeamRule;
+use hemlockramp::work::model::spec::StepSpec;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use support::pool_sim::{PoolSim, TIMING, name, step};
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -3,12 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hemlockramp::work::peers::{PeerService, PeerSet, serve_peers};
-use hemlockramp::work::ports::StorePort;
-use hemlockramp::work::relay::RelayStore;
-use hemlockramp::work::stream::{
+use hemlockramp::work::model::stream::{
     KeyedValue, StoreCall, StoreFailure, StoreReply, StreamName, WriterStamp,
 };
+use hemlockramp::work::peers::links::{PeerService, PeerSet, serve_peers};
+use hemlockramp::work::peers::relay::RelayStore;
+use hemlockramp::work::ports::StorePort;
 use tokio::net::TcpListener;
 use tokio::task::LocalSet;
 
--- a/tests/run_rows.rs
+++ b/tests/run_rows.rs
@@ -4,15 +4,16 @@
 use std::sync::Arc;
 
 use hemlockramp::tables::name::ObjectName;
-use hemlockramp::work::config::QueueRule;
-use hemlockramp::work::crash_record::{LossRecord, UpstreamLife};
-use hemlockramp::work::owner::job_state::{JobState, MemberPhase, UnitPhase};
-use hemlockramp::work::record::{
+use hemlockramp::work::model::config::QueueRule;
+use hemlockramp::work::model::crash_record::{LossRecord, UpstreamLife};
+use hemlockramp::work::model::record::{
     JobPhase, JobRecord, RunRecord, RunRow, TASKS_PER_ROW, decode_run_row, encode_run_row,
 };
-use hemlockramp::work::spec::{RepeatSpec, StepSpec, WorkSpec};
-use hemlockramp::work::store_limits::StoreLimits;
-use hemlockramp::work::stream::KeyedValue;
+use hemlockramp::work::model::spec::{RepeatSpec, StepSpec, WorkSpec};
+use hemlockramp::work::model::stream::KeyedValue;
+use hemlockramp::work::owner::job_state::JobState;
+use hemlockramp::work::owner::unit_state::{MemberPhase, UnitPhase};
+use hemlockramp::work::store::limits::StoreLimits;
 
 /// The store's limits on the platform.
 const LIMITS: StoreLimits = StoreLimits {
@@ -190,7 +191,7 @@
             let what = format!("{}, unit {unit}", case.name);
             assert_eq!(left.phase, right.phase, "{what}");
             assert_eq!((left.run, left.failed), (right.run, right.failed), "{what}");
-            let places = |state: &hemlockramp::work::owner::job_state::UnitState| {
+            let places = |state: &hemlockramp::work::owner::unit_state::UnitState| {
                 let members = state.members.iter();
                 members
                     .map(|member| (member.upstream.clone(), member.incarnation))
@@ -248,7 +249,7 @@
     let rows = decode(&original.take_changed_rows());
     let units = rows.iter().flat_map(|row| row.record.units.clone());
     // A unit that spans rows has a part in each of them.
-    let mut merged: Vec<hemlockramp::work::record::UnitRecord> = Vec::new();
+    let mut merged: Vec<hemlockramp::work::model::record::UnitRecord> = Vec::new();
     for unit in units {
         match merged.last_mut() {
             Some(last) if unit.places.first().is_some_and(|place| place.member > 0) => {
--- a/tests/support/memory_store.rs
+++ b/tests/support/memory_store.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hemlockramp::work::host_context::steady_ms;
-use hemlockramp::work::ports::StorePort;
-use hemlockramp::work::stream::{
+use hemlockramp::work::clock::steady_ms;
+use hemlockramp::work::model::stream::{
     KeyedValue, StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord, WriterStamp,
 };
+use hemlockramp::work::ports::StorePort;
 
 /// Interval at which a waiting read looks for new records, in ms.
 const READ_POLL_MS: u64 = 10;
--- a/tests/support/order_log.rs
+++ b/tests/support/order_log.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use hemlockramp::tables::name::ObjectName;
-use hemlockramp::work::host_context::steady_ms;
-use hemlockramp::work::ports::OrderPort;
-use hemlockramp::work::task_ref::TaskRef;
-use hemlockramp::work::upstream::{
+use hemlockramp::work::clock::steady_ms;
+use hemlockramp::work::model::task_ref::TaskRef;
+use hemlockramp::work::model::upstream::{
     OrderFailure, OrderTarget, RenewOrder, RenewReply, StartOrder, StartOutcome, StopOrder,
 };
+use hemlockramp::work::ports::OrderPort;
 
 use super::memory_store::MemoryStore;
 
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -6,20 +6,20 @@
 use std::sync::Arc;
 
 use hemlockramp::tables::name::ObjectName;
-use hemlockramp::work::amount::ResourceAmount;
 use hemlockramp::work::clock::HostTime;
-use hemlockramp::work::config::{QueueRule, RouteRow, TeamRule, WorkConfig};
-use hemlockramp::work::owner::{OwnerTiming, PoolOwner, RowBatch, UpstreamOrder};
-use hemlockramp::work::record::{
+use hemlockramp::work::model::amount::ResourceAmount;
+use hemlockramp::work::model::config::{QueueRule, RouteRow, TeamRule, WorkConfig};
+use hemlockramp::work::model::record::{
     JobPhase, JobRecord, RunRow, WorkRecord, decode_run_row, job_of_row,
 };
-use hemlockramp::work::spec::{StepSpec, WorkSpec};
-use hemlockramp::work::stream::KeyedValue;
-use hemlockramp::work::task_ref::TaskRef;
-use hemlockramp::work::upstream::{
+use hemlockramp::work::model::spec::{StepSpec, WorkSpec};
+use hemlockramp::work::model::stream::KeyedValue;
+use hemlockramp::work::model::task_ref::TaskRef;
+use hemlockramp::work::model::upstream::{
     EndKind, EndedTask, OrderFailure, RenewOrder, RenewReply, RunningTask, StartOrder,
     StartOutcome, StartRefusal, StopOrder, UpstreamReport,
 };
+use hemlockramp::work::owner::{OwnerTiming, PoolOwner, RowBatch, UpstreamOrder};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
--- a/tests/work_decisions.rs
+++ b/tests/work_decisions.rs
@@ -2,20 +2,20 @@
 //! owner election, store health and headroom.
 
 use hemlockramp::tables::name::ObjectName;
-use hemlockramp::work::amount::ResourceAmount;
-use hemlockramp::work::headroom::required_headroom;
-use hemlockramp::work::jobs_view::{HostRow, OwnerRow};
-use hemlockramp::work::locality_wait::LocalityWait;
-use hemlockramp::work::owner_election::{ElectionTimer, next_term, should_step_down};
-use hemlockramp::work::placement::{
+use hemlockramp::work::load::queue_order::{WaitingUnit, order_key};
+use hemlockramp::work::load::victims::{VictimUnit, choose_victims};
+use hemlockramp::work::model::amount::ResourceAmount;
+use hemlockramp::work::model::record::{HostRecord, OwnerRecord};
+use hemlockramp::work::model::task_ref::TaskRef;
+use hemlockramp::work::placing::headroom::required_headroom;
+use hemlockramp::work::placing::locality_wait::LocalityWait;
+use hemlockramp::work::placing::placement::{
     CandidateUpstream, CapacityClaim, UnitDemand, claim_rank, place_unit,
 };
-use hemlockramp::work::queue_order::{WaitingUnit, order_key};
-use hemlockramp::work::record::{HostRecord, OwnerRecord};
-use hemlockramp::work::slowdown::{SpeedPreference, TaskProgress, UpstreamSlowdown};
-use hemlockramp::work::store_health::StoreHealth;
-use hemlockramp::work::task_ref::TaskRef;
-use hemlockramp::work::victims::{VictimUnit, choose_victims};
+use hemlockramp::work::placing::slowdown::{SpeedPreference, TaskProgress, UpstreamSlowdown};
+use hemlockramp::work::state::election::{ElectionTimer, next_term, should_step_down};
+use hemlockramp::work::state::jobs_view::{HostRow, OwnerRow};
+use hemlockramp::work::store::health::StoreHealth;
 
 fn name(text: &str) -> ObjectName {
     ObjectName::try_from(text).expect("a valid name")
