Serve late calls in the time that is left, or send nothing

Cause: 400 ms of each call's time were reserved for the answer, so that a call with less left had no time at all; its append was still sent and given up after 1 ms as unsure.

--- a/src/work/calls/admission.rs
+++ b/src/work/calls/admission.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout;
 
 use crate::work::calls::call::{AdmittedCall, CallHead, CallRefusal};
+use crate::work::calls::call_budget::time_budget_ms;
 use crate::work::calls::job_service::{CHECK_TIMEOUT_MS, JobService};
 use crate::work::clock::steady_ms;
 use crate::work::model::config::{CallerIdentity, RouteRow, WorkConfig};
@@ -25,10 +26,6 @@
 const CONCURRENT_CALLS_MS: u64 = 100;
 /// Delay after which an overtaken call is to be tried again, in ms.
 const OVERTAKEN_RETRY_MS: u64 = 500;
-/// Longest time spent on one call, however long the caller waits.
-const CALL_TIME_MAX_MS: u64 = 1_800;
-/// Part of the caller's timeout that is reserved for the response to travel back.
-const ANSWER_RESERVE_MS: u64 = 400;
 
 impl<S: StorePort, O: OrderPort, R: RecordReader> JobService<S, O, R> {
     /// Admits a call: matches its route and checks its key.
@@ -112,13 +109,6 @@
     }
 }
 
-/// Returns how long to work on a call whose caller waits for `timeout_ms`, in ms.
-fn time_budget_ms(timeout_ms: u64) -> u64 {
-    timeout_ms
-        .saturating_sub(ANSWER_RESERVE_MS)
-        .min(CALL_TIME_MAX_MS)
-}
-
 /// Matches the route of a call and checks its key.
 fn authorize(
     config: &WorkConfig,
--- a/src/work/calls/job_service.rs
+++ b/src/work/calls/job_service.rs
@@ -12,6 +12,7 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::calls::call::{AdmittedCall, CallRefusal};
+use crate::work::calls::call_budget::allows_append;
 use crate::work::clock::{host_time, steady_ms};
 use crate::work::model::record::{JobPhase, JobRecord, WorkRecord};
 use crate::work::model::spec::WorkSpec;
@@ -203,6 +204,10 @@
         let mut outcome_unknown = false;
         loop {
             let left_ms = deadline_ms.saturating_sub(steady_ms());
+            if !allows_append(left_ms) && !outcome_unknown {
+                metrics::counter!("hemlockramp_calls_out_of_time_total").increment(1);
+                return Err(self.unavailable("too little of the caller's time is left"));
+            }
             let limit = Duration::from_millis(left_ms.max(1));
             match timeout(limit, self.context.store_record(&entry)).await {
                 Ok(Ok(())) => return Ok(()),
--- a/src/work/calls/mod.rs
+++ b/src/work/calls/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod admission;
 pub mod call;
+pub mod call_budget;
 pub mod job_service;
