Pass every start through one gate

Starts outlast what they were decided on.

start_gate decides by the stage of a start: an upstream is considered, its record is stored, or it may have been sent. One that may have been sent waits until the upstream has told what runs there; if the run is not at work it is stopped there first, since an earlier copy may still arrive. The evacuated failure domains are known to the owner; nothing sets them yet.

--- a/src/work/model/mod.rs
+++ b/src/work/model/mod.rs
@@ -3,6 +3,7 @@
 pub mod amount;
 pub mod config;
 pub mod crash_record;
+pub mod evacuation;
 pub mod record;
 pub mod spec;
 pub mod stream;
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -20,6 +20,7 @@
 pub mod replies;
 mod restore;
 mod row_records;
+pub mod start_gate;
 pub mod task_rows;
 mod team_usage;
 mod timing;
@@ -35,6 +36,7 @@
 use crate::tables::name::ObjectName;
 use crate::work::clock::{ClockReading, HostTime, drift_safe_wait_ms};
 use crate::work::model::config::WorkConfig;
+use crate::work::model::evacuation::EvacuatedDomains;
 use crate::work::model::record::JobPhase;
 use crate::work::model::stream::KeyedValue;
 use crate::work::model::upstream::{RenewOrder, StartOrder, StopOrder, UpstreamReport};
@@ -69,6 +71,7 @@
     term: u64,
     timing: OwnerTiming,
     config: Rc<WorkConfig>,
+    evacuated: EvacuatedDomains,
     jobs: Vec<JobState>,
     upstreams: Vec<UpstreamState>,
     pending_starts: VecDeque<PendingStart>,
@@ -102,6 +105,7 @@
             term,
             timing,
             config,
+            evacuated: EvacuatedDomains::default(),
             jobs: Vec::new(),
             upstreams: Vec::new(),
             pending_starts: VecDeque::new(),
@@ -152,6 +156,12 @@
         self.placement_due = true;
     }
 
+    /// Sets the evacuated failure domains: no start goes there from now on, however old its decision.
+    pub fn set_evacuated(&mut self, evacuated: EvacuatedDomains) {
+        self.evacuated = evacuated;
+        self.placement_due = true;
+    }
+
     fn stop_job(&mut self, job: usize) {
         for unit in 0..self.jobs[job].units.len() {
             self.stop_unit(job, unit);
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -155,7 +155,7 @@
             let Some(report) = &upstream.report else {
                 continue;
             };
-            if report.pool != *pool || !upstream.is_schedulable(now_ms) {
+            if report.pool != *pool || !upstream.is_schedulable(now_ms, &self.evacuated) {
                 continue;
             }
             let candidate = CandidateUpstream {
--- a/src/work/owner/renewals.rs
+++ b/src/work/owner/renewals.rs
@@ -6,6 +6,9 @@
 
 use crate::work::model::upstream::{RenewOrder, StartOrder, StopOrder};
 use crate::work::owner::loss_proof::LossProof;
+use crate::work::owner::start_gate::{
+    StartConditions, StartObstacle, StartStage, StartVerdict, start_verdict,
+};
 use crate::work::owner::unit_state::{MemberPhase, StopProgress, UnitPhase};
 use crate::work::owner::{PendingStart, PoolOwner, UpstreamOrder};
 
@@ -160,24 +163,18 @@
 
     fn send_start(&mut self, job: usize, unit: usize, member: usize, awaits_record: bool) {
         let now_ms = self.now.steady_ms;
-        let state = &self.jobs[job].units[unit];
-        let Some(index) = state.members[member]
+        let Some(index) = self.jobs[job].units[unit].members[member]
             .upstream
             .as_ref()
             .and_then(|name| self.upstream_index(name))
         else {
             return;
         };
-        let upstream = &mut self.upstreams[index];
-        // After a change of owner, the upstream must answer a renewal before a start is repeated. A
-        // silent upstream gets no new lease: those that it has must expire. A later life gets no
-        // start that was meant for the one before.
-        let placed_in = state.members[member].incarnation;
-        let same_life = placed_in == 0 || placed_in == upstream.incarnation;
-        let may_repeat = upstream.reconciled && upstream.missed_renewals == 0 && same_life;
-        if !awaits_record && !may_repeat {
+        if !awaits_record && !self.passes_repeat(job, unit, member, index) {
             return;
         }
+        let state = &self.jobs[job].units[unit];
+        let upstream = &mut self.upstreams[index];
         let Some(target) = upstream.target(self.term) else {
             return;
         };
@@ -204,21 +201,48 @@
         }
     }
 
-    /// Sends a start whose record is in the store, unless the run is no longer wanted or its upstream
-    /// has begun a later life since.
+    /// Returns whether a start that may have been sent goes out again. The run of one that must not is
+    /// stopped: an earlier copy of the order may have arrived, or may still arrive.
+    fn passes_repeat(&mut self, job: usize, unit: usize, member: usize, index: usize) -> bool {
+        let state = &self.jobs[job].units[unit].members[member];
+        let upstream = &self.upstreams[index];
+        let conditions = StartConditions {
+            other_life: state.incarnation != 0 && state.incarnation != upstream.incarnation,
+            ..upstream.start_conditions(self.now.steady_ms, &self.evacuated)
+        };
+        match start_verdict(StartStage::Repeat, &conditions) {
+            StartVerdict::Pass => true,
+            StartVerdict::Wait(_) => false,
+            StartVerdict::Withhold(obstacle) => {
+                self.log_withheld(job, unit, member, obstacle);
+                self.stop_unit(job, unit);
+                false
+            }
+        }
+    }
+
+    /// Sends a start whose record is in the store, unless the gate withholds it by now.
     pub(super) fn release_start(&mut self, mut order: StartOrder) {
         let Some((job, unit, member)) = self.find_member(order.task_key()) else {
             return;
         };
         let index = self.upstream_index(&order.target.upstream);
-        let silent = index.is_some_and(|index| self.upstreams[index].missed_renewals > 0);
-        let outdated = !self.has_newest_token(&order.target);
-        if silent || outdated || self.jobs[job].units[unit].phase != UnitPhase::Active {
-            self.drop_unsent_start(job, unit, member);
+        let now_ms = self.now.steady_ms;
+        let upstream = index.map(|index| &self.upstreams[index]);
+        let conditions = StartConditions {
+            unwanted: self.jobs[job].units[unit].phase != UnitPhase::Active,
+            other_life: !self.has_newest_token(&order.target),
+            ..upstream.map_or_else(StartConditions::default, |upstream| {
+                upstream.start_conditions(now_ms, &self.evacuated)
+            })
+        };
+        let verdict = start_verdict(StartStage::Recorded, &conditions);
+        if let StartVerdict::Wait(obstacle) | StartVerdict::Withhold(obstacle) = verdict {
+            self.log_withheld(job, unit, member, obstacle);
+            self.clear_member(job, unit, member);
             self.stop_unit(job, unit);
             return;
         }
-        let now_ms = self.now.steady_ms;
         let timing = self.timing;
         let lease = index.and_then(|index| self.upstreams[index].grant_lease(now_ms, &timing));
         // Recording may have taken long, so the lease starts now.
@@ -227,6 +251,20 @@
         self.ready.push(UpstreamOrder::Start(order));
     }
 
+    /// Logs and counts a start that the gate withholds.
+    fn log_withheld(&self, job: usize, unit: usize, member: usize, obstacle: StartObstacle) {
+        let task = self.jobs[job].task(unit, member);
+        let state = &self.jobs[job].units[unit];
+        let upstream = state.members[member].upstream.as_ref();
+        let reason = obstacle.label();
+        log::info!(
+            job = task.job.as_str(), task:% = task, run = state.run, reason,
+            upstream = upstream.map_or("", |name| name.as_str()), phase:? = state.phase;
+            "owner: a start is withheld."
+        );
+        metrics::counter!("hemlockramp_starts_withheld_total", "reason" => reason).increment(1);
+    }
+
     /// Takes a member whose start order has not been sent off its upstream.
     fn drop_unsent_start(&mut self, job: usize, unit: usize, member: usize) {
         let task = self.jobs[job].task(unit, member);
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -6,8 +6,10 @@
 use crate::work::clock::{ClockReading, drift_safe_wait_ms};
 use crate::work::model::amount::ResourceAmount;
 use crate::work::model::crash_record::UpstreamLife;
+use crate::work::model::evacuation::EvacuatedDomains;
 use crate::work::model::upstream::{OrderTarget, UpstreamReport};
 use crate::work::owner::OwnerTiming;
+use crate::work::owner::start_gate::{StartConditions, StartStage, StartVerdict, start_verdict};
 use crate::work::placing::placement::CapacityClaim;
 use crate::work::placing::slowdown::UpstreamSlowdown;
 
@@ -142,16 +144,27 @@
         })
     }
 
+    /// Returns what speaks against starts on it, at any stage.
+    pub fn start_conditions(&self, now_ms: u64, evacuated: &EvacuatedDomains) -> StartConditions {
+        let report = self.report.as_ref();
+        StartConditions {
+            evacuated: report.is_some_and(|report| evacuated.contains(&report.domain)),
+            draining: report.is_none_or(|report| report.draining),
+            unlisted: !self.listed || self.clock.is_none(),
+            silent: self.missed_renewals > 0,
+            unreconciled: !self.reconciled,
+            quarantined: self.quarantined_until_ms > now_ms,
+            ..StartConditions::default()
+        }
+    }
+
     /// Returns whether new work may be placed on it.
-    pub fn is_schedulable(&self, now_ms: u64) -> bool {
-        let draining = self.report.as_ref().is_none_or(|report| report.draining);
-        self.listed
-            && !draining
-            && self.missed_renewals == 0
-            && !self.gave_up_runs
-            && self.quarantined_until_ms <= now_ms
-            && self.clock.is_some()
-            && (self.reconciled || (self.held.is_empty() && self.restarts == 0))
+    pub fn is_schedulable(&self, now_ms: u64, evacuated: &EvacuatedDomains) -> bool {
+        let mut conditions = self.start_conditions(now_ms, evacuated);
+        conditions.silent |= self.gave_up_runs;
+        // One that holds nothing of this owner or an earlier one need not tell what runs there.
+        conditions.unreconciled &= !self.held.is_empty() || self.restarts > 0;
+        start_verdict(StartStage::Placement, &conditions) == StartVerdict::Pass
     }
 
     /// Returns its current life.
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -9,6 +9,7 @@
 use hemlockramp::work::clock::HostTime;
 use hemlockramp::work::model::amount::ResourceAmount;
 use hemlockramp::work::model::config::{QueueRule, RouteRow, TeamRule, WorkConfig};
+use hemlockramp::work::model::evacuation::EvacuatedDomains;
 use hemlockramp::work::model::record::{
     JobPhase, JobRecord, RunRow, WorkRecord, decode_run_row, job_of_row,
 };
@@ -63,6 +64,9 @@
     pub name: ObjectName,
     pub address: SocketAddr,
     rack: ObjectName,
+    pub domain: ObjectName,
+    /// Whether it reports that it is about to leave.
+    pub draining: bool,
     pub capacity: ResourceAmount,
     pub incarnation: u64,
     clock_ms: u64,
@@ -196,6 +200,8 @@
     pub upstreams: Vec<SimUpstream>,
     pub fault_rates: FaultRates,
     pub config: Rc<WorkConfig>,
+    /// Failure domains that a new owner knows to be evacuated.
+    pub evacuated: EvacuatedDomains,
     pub owner: Option<PoolOwner>,
     pub batch_delay_ms: u64,
     /// Time that stopping a run takes, in ms.
@@ -243,6 +249,8 @@
             name: name(&format!("u{index:02}")),
             address: SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
             rack: name(&format!("r{}", index / RACK_SIZE)),
+            domain: name("domain"),
+            draining: false,
             capacity,
             incarnation: 1,
             clock_ms: 500_000,
@@ -264,6 +272,7 @@
             upstreams: (0..upstreams).map(make).collect(),
             fault_rates: FaultRates::default(),
             config: Rc::new(config()),
+            evacuated: EvacuatedDomains::default(),
             owner: None,
             batch_delay_ms: 20,
             stop_ms: STOP_MS,
@@ -304,6 +313,7 @@
         self.interrupt_batch();
         self.add_trace(format!("owner {}", self.term));
         let mut owner = PoolOwner::new(self.term, TIMING, Rc::clone(&self.config), self.time());
+        owner.set_evacuated(self.evacuated.clone());
         for report in self.reports() {
             owner.on_report(report);
         }
@@ -421,6 +431,16 @@
         }
     }
 
+    /// Evacuates failure domains; the owner learns of it at once.
+    pub fn evacuate(&mut self, domains: impl IntoIterator<Item = ObjectName>) {
+        self.evacuated = domains.into_iter().collect();
+        let time = self.time();
+        if let Some(owner) = &mut self.owner {
+            owner.set_time(time);
+            owner.set_evacuated(self.evacuated.clone());
+        }
+    }
+
     pub fn cancel(&mut self, id: &str) {
         let id = name(id);
         let job = self.jobs.iter_mut().find(|job| job.0 == id);
@@ -1092,11 +1112,11 @@
         name: upstream.name.clone(),
         pool: name("pool"),
         address: upstream.address,
-        domain: name("domain"),
+        domain: upstream.domain.clone(),
         rack: Some(upstream.rack.clone()),
         labels: vec![name("kind"), upstream.rack.clone()],
         capacity: upstream.capacity,
-        draining: false,
+        draining: upstream.draining,
         remaining_ms: None,
         clock_ms: upstream.clock_ms,
         incarnation: upstream.incarnation,
