Judge the store's health by stream

Cause: the store may fail in part. The answers of the streams that worked hid that the jobs stream was lost: callers' appends were tried until their time was over and ended unsure, after which a caller can't try again.

Change: the relay keeps a path and a health for each stream. A call whose stream is lost is refused at once as not run, with a time to come back.

--- a/src/work/calls/admission.rs
+++ b/src/work/calls/admission.rs
@@ -15,6 +15,7 @@
 use crate::work::calls::job_service::{CHECK_TIMEOUT_MS, JobService};
 use crate::work::clock::steady_ms;
 use crate::work::model::config::{CallerIdentity, RouteRow, WorkConfig};
+use crate::work::model::stream::StreamName;
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 
 /// Age of the configuration above which it is refreshed before a call is admitted.
@@ -61,8 +62,12 @@
             Ok(call) if active_config.is_current(arrived_ms, CONFIG_AGE_MAX_MS) => return Ok(call),
             // No newer configuration can be read now, and none is known to exist. A job still has
             // to be stored to be accepted.
-            Ok(call) if self.is_unavailable() && !active_config.is_outdated() => return Ok(call),
-            _ if self.is_unavailable() => return Err(self.unavailable("the store is away")),
+            Ok(call) if self.is_unavailable(StreamName::Config) && !active_config.is_outdated() => {
+                return Ok(call);
+            }
+            _ if self.is_unavailable(StreamName::Config) => {
+                return Err(self.unavailable(StreamName::Config, "the store is away"));
+            }
             Err(refusal) if active_config.is_current(arrived_ms, REFUSAL_CONFIG_AGE_MAX_MS) => {
                 return Err(refusal);
             }
@@ -89,7 +94,7 @@
                 "config: a check for a call found another version or failed."
             );
         }
-        result.map_err(|reason| self.unavailable(reason))
+        result.map_err(|reason| self.unavailable(StreamName::Config, reason))
     }
 
     /// Returns the version of the configuration in force; 0 before the first one.
@@ -100,7 +105,7 @@
 
     fn config(&self) -> Result<Rc<WorkConfig>, CallRefusal> {
         let config = self.context.active_config.current();
-        config.ok_or_else(|| self.unavailable("no configuration yet"))
+        config.ok_or_else(|| self.unavailable(StreamName::Config, "no configuration yet"))
     }
 
     /// Returns the time since the configuration was last confirmed as the newest, in ms.
--- a/src/work/calls/job_service.rs
+++ b/src/work/calls/job_service.rs
@@ -16,7 +16,7 @@
 use crate::work::clock::{host_time, steady_ms};
 use crate::work::model::record::{JobPhase, JobRecord, WorkRecord};
 use crate::work::model::spec::WorkSpec;
-use crate::work::model::stream::{KeyedValue, StoreFailure};
+use crate::work::model::stream::{KeyedValue, StoreFailure, StreamName};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 use crate::work::state::context::HostContext;
 
@@ -52,19 +52,16 @@
         self.context.is_ready()
     }
 
-    pub(super) fn is_unavailable(&self) -> bool {
-        self.context.store.is_unavailable()
+    /// Returns whether a stream of the store is unavailable to this host.
+    pub(super) fn is_unavailable(&self, stream: StreamName) -> bool {
+        self.context.store.is_unavailable(stream)
     }
 
-    /// Returns the refusal of a call that cannot be served because the store is unavailable.
-    pub(super) fn unavailable(&self, reason: impl ToString) -> CallRefusal {
-        let retry_ms = self
-            .context
-            .store
-            .health()
-            .retry_after_ms(steady_ms(), rand::random());
+    /// Returns the refusal of a call that cannot be served because a stream is unavailable.
+    pub(super) fn unavailable(&self, stream: StreamName, reason: impl ToString) -> CallRefusal {
+        let health = self.context.store.health(stream);
         CallRefusal::NotRun {
-            retry_ms,
+            retry_ms: health.retry_after_ms(steady_ms(), rand::random()),
             reason: reason.to_string(),
         }
     }
@@ -180,14 +177,14 @@
     }
 
     async fn refresh_jobs(&self) -> Result<(), CallRefusal> {
-        if self.is_unavailable() {
-            return Err(self.unavailable("the store is away"));
+        if self.is_unavailable(StreamName::Jobs) {
+            return Err(self.unavailable(StreamName::Jobs, "the store is away"));
         }
         let checked = self.context.refresh_jobs();
         match timeout(Duration::from_millis(CHECK_TIMEOUT_MS), checked).await {
             Ok(Ok(())) => Ok(()),
-            Ok(Err(failure)) => Err(self.unavailable(failure)),
-            Err(_) => Err(self.unavailable("the jobs could not be checked")),
+            Ok(Err(failure)) => Err(self.unavailable(StreamName::Jobs, failure)),
+            Err(_) => Err(self.unavailable(StreamName::Jobs, "the jobs could not be checked")),
         }
     }
 
@@ -198,15 +195,17 @@
         if !limits.admits(&entry) {
             return Err(CallRefusal::NotStorable(limits.excess(&entry)));
         }
-        if self.is_unavailable() {
-            return Err(self.unavailable("the store is away"));
+        if self.is_unavailable(StreamName::Jobs) {
+            return Err(self.unavailable(StreamName::Jobs, "the store is away"));
         }
         let mut outcome_unknown = false;
         loop {
             let left_ms = deadline_ms.saturating_sub(steady_ms());
             if !allows_append(left_ms) && !outcome_unknown {
                 metrics::counter!("hemlockramp_calls_out_of_time_total").increment(1);
-                return Err(self.unavailable("too little of the caller's time is left"));
+                return Err(
+                    self.unavailable(StreamName::Jobs, "too little of the caller's time is left")
+                );
             }
             let limit = Duration::from_millis(left_ms.max(1));
             match timeout(limit, self.context.store_record(&entry)).await {
@@ -224,12 +223,15 @@
             }
             let give_up = match outcome_unknown {
                 true => steady_ms() + STORE_RETRY_MS >= deadline_ms,
-                false => self.is_unavailable() || steady_ms() + STORE_RETRY_MS >= deadline_ms,
+                false => {
+                    self.is_unavailable(StreamName::Jobs)
+                        || steady_ms() + STORE_RETRY_MS >= deadline_ms
+                }
             };
             if give_up {
                 return Err(match outcome_unknown {
                     true => CallRefusal::Unsure,
-                    false => self.unavailable("the store is away"),
+                    false => self.unavailable(StreamName::Jobs, "the store is away"),
                 });
             }
             tokio::time::sleep(Duration::from_millis(STORE_RETRY_MS)).await;
--- a/src/work/model/stream.rs
+++ b/src/work/model/stream.rs
@@ -17,6 +17,21 @@
     Upstreams,
 }
 
+impl StreamName {
+    /// All streams, each at the index of its number.
+    pub const ALL: [Self; 4] = [Self::Jobs, Self::Runs, Self::Config, Self::Upstreams];
+
+    /// Returns the label that metrics carry.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Jobs => "jobs",
+            Self::Runs => "runs",
+            Self::Config => "config",
+            Self::Upstreams => "upstreams",
+        }
+    }
+}
+
 /// Key and value of a record.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyedValue {
@@ -95,6 +110,15 @@
         }
     }
 
+    /// Returns the stream that the call is about.
+    pub fn stream(&self) -> StreamName {
+        match self {
+            Self::Append { stream, .. }
+            | Self::Read { stream, .. }
+            | Self::Newest { stream, .. } => *stream,
+        }
+    }
+
     /// Returns the time for which the store may hold the call to wait for records, in ms.
     pub fn wait_ms(&self) -> u64 {
         match self {
--- a/src/work/owner_loop/mod.rs
+++ b/src/work/owner_loop/mod.rs
@@ -76,7 +76,7 @@
     let now_ms = steady_ms();
     let mut election = context.election.borrow_mut();
     election.record_ready(now_ms);
-    let allowance_ms = context.store.health().allowance_ms();
+    let allowance_ms = context.store.health(StreamName::Jobs).allowance_ms();
     election.should_claim(
         context.jobs_view.borrow().owner.as_ref(),
         now_ms,
--- a/src/work/peers/relay.rs
+++ b/src/work/peers/relay.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use crate::work::clock::steady_ms;
-use crate::work::model::stream::{StoreCall, StoreFailure, StoreReply};
+use crate::work::model::stream::{StoreCall, StoreFailure, StoreReply, StreamName};
 use crate::work::peers::links::PeerSet;
 use crate::work::ports::StorePort;
 use crate::work::store::health::StoreHealth;
@@ -25,16 +25,34 @@
 /// Consecutive failures of the direct path after which peers are tried first.
 const DIRECT_FAILURES_MAX: u32 = 2;
 
+/// What a host knows of its direct path to one stream. A part of the store may fail while the rest
+/// answers, so each stream is judged by its own calls.
+#[derive(Debug, Default)]
+struct StreamPath {
+    direct_failures: Cell<u32>,
+    /// Whether the latest direct call was answered.
+    answers_directly: Cell<bool>,
+    direct_probe_at_ms: Cell<u64>,
+    /// Answers by either path.
+    health: RefCell<StoreHealth>,
+    /// Whether the current outage of the stream has been logged.
+    outage_logged: Cell<bool>,
+}
+
+impl StreamPath {
+    /// Returns whether the latest direct calls have failed, at least `DIRECT_FAILURES_MAX` in a row.
+    fn is_direct_down(&self) -> bool {
+        self.direct_failures.get() >= DIRECT_FAILURES_MAX
+    }
+}
+
 /// A store client that falls back to peers. Clones share its state.
 #[derive(Clone)]
 pub struct RelayStore<S> {
     direct: S,
     peers: Rc<PeerSet>,
-    direct_failures: Rc<Cell<u32>>,
-    direct_probe_at_ms: Rc<Cell<u64>>,
-    health: Rc<RefCell<StoreHealth>>,
-    /// Whether the current outage of the store has been logged.
-    outage_logged: Rc<Cell<bool>>,
+    /// Parallel to `StreamName::ALL`.
+    paths: Rc<[StreamPath; StreamName::ALL.len()]>,
 }
 
 impl<S: StorePort> RelayStore<S> {
@@ -43,10 +61,7 @@
         Self {
             direct,
             peers,
-            direct_failures: Rc::default(),
-            direct_probe_at_ms: Rc::default(),
-            health: Rc::default(),
-            outage_logged: Rc::default(),
+            paths: Rc::default(),
         }
     }
 
@@ -55,23 +70,30 @@
         &self.direct
     }
 
-    /// Returns whether the latest direct calls have failed, at least `DIRECT_FAILURES_MAX` in a
-    /// row.
+    fn path(&self, stream: StreamName) -> &StreamPath {
+        &self.paths[stream as usize]
+    }
+
+    /// Returns whether no stream answers directly and the latest direct calls of some have failed, at
+    /// least `DIRECT_FAILURES_MAX` in a row.
     pub fn is_direct_path_down(&self) -> bool {
-        self.direct_failures.get() >= DIRECT_FAILURES_MAX
+        let answers = self.paths.iter().any(|path| path.answers_directly.get());
+        !answers && self.paths.iter().any(StreamPath::is_direct_down)
     }
 
-    /// Returns the health of the store as seen by either path.
-    pub fn health(&self) -> Ref<'_, StoreHealth> {
-        self.health.borrow()
+    /// Returns the health of a stream as seen by either path.
+    pub fn health(&self, stream: StreamName) -> Ref<'_, StoreHealth> {
+        self.path(stream).health.borrow()
     }
 
-    /// Returns whether the store is unavailable by both paths. Logs the start of an outage.
-    pub fn is_unavailable(&self) -> bool {
-        let unavailable = self.health.borrow().is_unavailable(steady_ms());
-        if unavailable && !self.outage_logged.replace(true) {
-            log::warn!("store: lost by every way; callers are refused.");
-            metrics::counter!("hemlockramp_store_outages_total").increment(1);
+    /// Returns whether a stream is unavailable by both paths. Logs the start of an outage.
+    pub fn is_unavailable(&self, stream: StreamName) -> bool {
+        let path = self.path(stream);
+        let unavailable = path.health.borrow().is_unavailable(steady_ms());
+        if unavailable && !path.outage_logged.replace(true) {
+            log::warn!(stream:? = stream; "store: a stream is lost by every way; callers are refused.");
+            metrics::counter!("hemlockramp_store_outages_total", "stream" => stream.label())
+                .increment(1);
         }
         unavailable
     }
@@ -80,15 +102,16 @@
     /// probe, since a store that turns this host away may let it run into its timeout.
     fn probe_if_due(&self, call: &StoreCall, limit: Duration) {
         let now_ms = steady_ms();
+        let path = self.path(call.stream());
         let is_read = !matches!(call, StoreCall::Append { .. });
-        if !is_read || now_ms < self.direct_probe_at_ms.get() {
+        if !is_read || now_ms < path.direct_probe_at_ms.get() {
             return;
         }
-        self.direct_probe_at_ms
+        path.direct_probe_at_ms
             .set(now_ms + DIRECT_PROBE_INTERVAL_MS);
         let (store, call) = (self.clone(), call.clone());
         tokio::task::spawn_local(async move {
-            // The outcome is kept in `direct_failures`.
+            // The outcome is kept in the stream's path.
             let _ = store.call_direct(&call, limit).await;
         });
     }
@@ -102,22 +125,30 @@
         let result = self.direct.call(call, limit).await;
         let took_ms = (steady_ms() - begun_ms).saturating_sub(call.wait_ms());
         metrics::histogram!("hemlockramp_store_seconds").record(took_ms as f64 / 1_000.0);
+        let path = self.path(call.stream());
         let failed = result.as_ref().is_err_and(StoreFailure::is_transient);
+        path.answers_directly.set(!failed);
         if !failed {
-            if self.direct_failures.replace(0) >= DIRECT_FAILURES_MAX {
-                log::info!("store: answers directly again; peers are no longer tried first.");
+            if path.direct_failures.replace(0) >= DIRECT_FAILURES_MAX {
+                log::info!(
+                    stream:? = call.stream();
+                    "store: answers directly again; peers are no longer tried first."
+                );
             }
             return result;
         }
         metrics::counter!("hemlockramp_store_failures_total").increment(1);
-        let direct_failures = self.direct_failures.get() + 1;
-        self.direct_failures.set(direct_failures);
-        self.direct_probe_at_ms
+        let direct_failures = path.direct_failures.get() + 1;
+        path.direct_failures.set(direct_failures);
+        path.direct_probe_at_ms
             .set(steady_ms() + DIRECT_PROBE_INTERVAL_MS);
         if direct_failures == DIRECT_FAILURES_MAX
             && let Err(failure) = &result
         {
-            log::warn!(failure:% = failure; "store: not reached directly; peers are asked.");
+            log::warn!(
+                failure:% = failure, stream:? = call.stream();
+                "store: not reached directly; peers are asked."
+            );
         }
         result
     }
@@ -199,13 +230,14 @@
 
 impl<S: StorePort> StorePort for RelayStore<S> {
     async fn call(&self, call: &StoreCall, limit: Duration) -> Result<StoreReply, StoreFailure> {
-        let in_flight = InFlightCall::start(&self.health, call);
-        let allowance_ms = self.health.borrow().allowance_ms();
+        let path = self.path(call.stream());
+        let in_flight = InFlightCall::start(&path.health, call);
+        let allowance_ms = path.health.borrow().allowance_ms();
         let limit = limit + Duration::from_millis(allowance_ms);
         let result = self.call_with_fallback(call, limit).await;
         in_flight.end(&result);
-        if result.is_ok() && self.outage_logged.replace(false) {
-            log::info!("store: answers again.");
+        if result.is_ok() && path.outage_logged.replace(false) {
+            log::info!(stream:? = call.stream(); "store: a stream answers again.");
         }
         result
     }
@@ -218,7 +250,7 @@
         call: &StoreCall,
         limit: Duration,
     ) -> Result<StoreReply, StoreFailure> {
-        let direct_first = !self.is_direct_path_down();
+        let direct_first = !self.path(call.stream()).is_direct_down();
         if !direct_first {
             self.probe_if_due(call, limit);
         }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -129,3 +129,56 @@
         }
     });
 }
+
+/// A store of which one stream fails while the others answer.
+#[derive(Clone)]
+struct PartialPath {
+    failing: StreamName,
+}
+
+impl StorePort for PartialPath {
+    async fn call(&self, call: &StoreCall, _limit: Duration) -> Result<StoreReply, StoreFailure> {
+        match call.stream() == self.failing {
+            true => Err(unknown()),
+            false => Ok(StoreReply::default()),
+        }
+    }
+}
+
+fn read(stream: StreamName) -> StoreCall {
+    StoreCall::Read {
+        stream,
+        from: 0,
+        wait_ms: 0,
+    }
+}
+
+/// A part of the store fails while the rest answers. Guards against callers that wait for an append
+/// and end unsure: the answers of the other streams hid that theirs had been lost.
+#[test]
+fn outage_of_one_stream_is_not_hidden_by_the_others() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("build the runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let failing = StreamName::Jobs;
+        let store = RelayStore::new(PartialPath { failing }, Rc::default());
+        let limit = Duration::from_millis(100);
+        for _ in 0..10 {
+            for stream in [failing, StreamName::Config] {
+                let result = store.call(&read(stream), limit).await;
+                assert_eq!(result.is_err(), stream == failing);
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        for stream in StreamName::ALL {
+            assert_eq!(
+                store.is_unavailable(stream),
+                stream == failing,
+                "{stream:?}"
+            );
+        }
+        assert!(!store.is_direct_path_down(), "the other streams answer");
+    });
+}
