Never end a job for crashes of its upstreams

Crashes by chance and by the task look alike to the owner, so that any such budget ends sound work as well.

Change: a suspected task (three proved crashes, or four lost runs) is no longer ended. The wait for upstreams of its own now begins after the pause; it was over before it began once the pause was longer (lasting tasks as well).

--- a/src/work/owner/crashes.rs
+++ b/src/work/owner/crashes.rs
@@ -1,11 +1,11 @@
-//! Runs that are lost with their upstream, and units that are given up for it.
+//! Runs that are lost with their upstream, and units that are restarted with care for it.
 
 use crate::tables::name::ObjectName;
 use crate::work::model::crash_record::{LossRecord, UpstreamLife};
-use crate::work::model::record::JobPhase;
 use crate::work::owner::PoolOwner;
 use crate::work::owner::unit_state::{MemberPhase, UnitPhase};
 use crate::work::owner::upstream_state::UpstreamState;
+use crate::work::placing::placement::Isolation;
 
 /// Run time after which a lasting task counts as one that does not crash its upstreams, in ms.
 const STEADY_RUN_MS: u64 = 10_000;
@@ -68,7 +68,7 @@
                 }
             }
             if any {
-                self.give_up_crashing(job);
+                self.report_suspects(job);
             }
         }
     }
@@ -110,12 +110,25 @@
         }
     }
 
-    /// Returns whether a lasting unit waits on before its next run, since it crashed its upstreams.
-    pub(super) fn restart_is_paused(&self, job: usize, unit: usize) -> bool {
+    /// Returns how long a unit waits before its next run, since it crashed its upstreams, in ms.
+    fn restart_pause_ms(&self, job: usize, unit: usize) -> u64 {
         let state = &self.jobs[job];
-        let unit_state = &state.units[unit];
-        let waited_ms = self.now.steady_ms.saturating_sub(unit_state.since_ms);
-        state.step(unit).lasting && waited_ms < unit_state.crashes.restart_pause_ms()
+        let lasting = state.step(unit).lasting;
+        state.units[unit].crashes.restart_pause_ms(lasting)
+    }
+
+    /// Returns whether a unit waits on before its next run, since it crashed its upstreams.
+    pub(super) fn restart_is_paused(&self, job: usize, unit: usize) -> bool {
+        let since_ms = self.jobs[job].units[unit].since_ms;
+        let waited_ms = self.now.steady_ms.saturating_sub(since_ms);
+        waited_ms < self.restart_pause_ms(job, unit)
+    }
+
+    /// Returns how far a unit that has waited for `waited_ms` is kept away from other work.
+    pub(super) fn isolation(&self, job: usize, unit: usize, waited_ms: u64) -> Isolation {
+        let pause_ms = self.restart_pause_ms(job, unit);
+        let crashes = &self.jobs[job].units[unit].crashes;
+        crashes.isolation(waited_ms, pause_ms)
     }
 
     /// Drops the crash history of a lasting task that is at work for long enough to show that it did
@@ -140,20 +153,23 @@
         })
     }
 
-    /// Ends a job one of whose tasks crashes its upstreams. Lasting tasks are restarted however they
-    /// end.
-    pub(super) fn give_up_crashing(&mut self, job: usize) {
+    /// Tells operators which units of a job are suspected to crash their upstreams. Call after each of
+    /// their lost runs.
+    pub(super) fn report_suspects(&self, job: usize) {
         let state = &self.jobs[job];
-        let exhausted = (0..state.units.len())
-            .find(|&unit| state.units[unit].crashes.is_exhausted() && !state.step(unit).lasting);
-        let Some(unit) = exhausted.filter(|_| !state.phase.is_over()) else {
+        if state.phase.is_over() {
             return;
-        };
-        log::warn!(
-            job = state.id.as_str(), unit, crashes:? = state.units[unit].crashes.rows();
-            "owner: a task crashes its upstreams; its job is given up."
-        );
-        metrics::counter!("hemlockramp_jobs_given_up_total").increment(1);
-        self.set_phase(job, JobPhase::Failed);
+        }
+        for (unit, unit_state) in state.units.iter().enumerate() {
+            if !unit_state.crashes.is_suspect() {
+                continue;
+            }
+            log::warn!(
+                job = state.id.as_str(), unit, pause_ms = self.restart_pause_ms(job, unit),
+                crashes:? = unit_state.crashes.rows();
+                "owner: a task seems to crash its upstreams; it runs alone, and ever more rarely."
+            );
+            metrics::counter!("hemlockramp_suspect_losses_total").increment(1);
+        }
     }
 }
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -304,7 +304,7 @@
         self.note_lost_run(job, unit, member);
         self.clear_member(job, unit, member);
         self.stop_unit(job, unit);
-        self.give_up_crashing(job);
+        self.report_suspects(job);
     }
 
     /// Stops the remaining members of a unit's run; the unit waits again once none is placed.
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -216,7 +216,7 @@
                 1 => SpeedPreference::Any,
                 _ => SpeedPreference::Slow,
             },
-            isolation: state.units[unit].crashes.isolation(waited_ms),
+            isolation: self.isolation(job, unit, waited_ms),
         };
         if step.spread_max > 0 {
             demand.siblings = self.siblings(job, unit);
--- a/src/work/owner/restore.rs
+++ b/src/work/owner/restore.rs
@@ -54,7 +54,6 @@
         } else if failed {
             self.set_phase(job, JobPhase::Failed);
         }
-        self.give_up_crashing(job);
     }
 
     /// Reserves what a restored job already holds on upstreams.
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -442,6 +442,13 @@
         history.map_or(0, |history| history.starts)
     }
 
+    /// Returns the running tasks of each upstream.
+    pub fn running_tasks(&self) -> Vec<Vec<TaskRef>> {
+        let runs = self.upstreams.iter().map(|upstream| upstream.runs.iter());
+        runs.map(|runs| runs.map(|run| run.order.task.clone()).collect())
+            .collect()
+    }
+
     /// Returns the rack that a task runs in.
     pub fn rack_of(&self, task: &str) -> Option<ObjectName> {
         let upstream = self.running(task)?;
