Weigh failed runs against their work and their upstreams at once

Cause: each failed run spoke against its upstream alone, and an excluded upstream was never used, even if no other was left.

Change: `FailureLedger` keeps recent failures by step and upstream. A step that failed on n upstreams and has d tasks done since counts (1 + d) / (n + d) of its failures against each, two of them at most; the sum excludes an upstream as before, and the exclusion is lifted once later failures show that the work is to blame. Excluded upstreams take work that fits nowhere else while most of the pool is free or no other upstream is left: in a pool in use, work had better wait than lose its attempts there. Refusals of starts keep their own pause.

Tests: `hopeless_work_does_not_exclude_its_upstreams`; `broken_upstream_is_excluded` guards the other side.

--- a/src/work/owner/ends.rs
+++ b/src/work/owner/ends.rs
@@ -6,19 +6,14 @@
 use crate::work::model::record::JobPhase;
 use crate::work::model::upstream::{EndKind, EndedTask};
 use crate::work::owner::PoolOwner;
+use crate::work::owner::failure_ledger::EXCLUSION_SCORE;
 use crate::work::owner::renewals::UNRECORDED_RENEW_PAUSE_MS;
 use crate::work::owner::unit_state::UnitPhase;
 
 /// The former module path; operators filter log lines by it.
 const LOG_TARGET: &str = "hemlockramp::work::owner::replies";
-/// Added to an upstream's failure score for each failed run.
-const FAILURE_SCORE: f64 = 1.0;
-/// Failure score at which an upstream is quarantined.
-const QUARANTINE_SCORE: f64 = 2.0;
-/// How long a quarantined upstream gets no new work, in ms.
-const QUARANTINE_MS: u64 = 8_000;
-/// Factor applied to an upstream's failure score for each completed run.
-const FAILURE_SCORE_DECAY: f64 = 0.3;
+/// How long an upstream is excluded after failed runs, in ms.
+const EXCLUSION_MS: u64 = 8_000;
 
 impl PoolOwner {
     /// Handles the ends that an answer lists for the first time.
@@ -110,8 +105,10 @@
     }
 
     fn on_done(&mut self, job: usize, unit: usize, name: &ObjectName) {
-        if let Some(index) = self.upstream_index(name) {
-            self.upstreams[index].failure_score *= FAILURE_SCORE_DECAY;
+        if !self.failures.is_empty() {
+            let step = self.jobs[job].shapes[unit].step;
+            self.failures.add_success(&self.jobs[job].id, step, name);
+            self.score_failures();
         }
         self.complete_unit(job, unit);
     }
@@ -124,20 +121,25 @@
         self.placement_due = true;
     }
 
+    /// Brings the failure scores of all upstreams up to date. An upstream that turns out not to be to
+    /// blame is no longer excluded.
+    fn score_failures(&mut self) {
+        for upstream in &mut self.upstreams {
+            upstream.failure_score = self.failures.score(&upstream.name);
+            if upstream.failure_score < EXCLUSION_SCORE {
+                upstream.excluded_until_ms = 0;
+            }
+        }
+    }
+
     fn on_failed(&mut self, job: usize, unit: usize, name: &ObjectName) {
         let now_ms = self.now.steady_ms;
+        let step = self.jobs[job].shapes[unit].step;
+        self.failures
+            .add_failure(&self.jobs[job].id, step, name, now_ms);
+        self.score_failures();
         if let Some(index) = self.upstream_index(name) {
-            let upstream = &mut self.upstreams[index];
-            upstream.failure_score += FAILURE_SCORE;
-            if upstream.failure_score >= QUARANTINE_SCORE {
-                upstream.quarantined_until_ms = now_ms + QUARANTINE_MS;
-                log::warn!(
-                target: LOG_TARGET,
-                    upstream = name.as_str(), failures = upstream.failure_score,
-                    for_ms = QUARANTINE_MS;
-                    "owner: an upstream is quarantined after failed runs."
-                );
-            }
+            self.upstreams[index].exclude_if_failing(now_ms + EXCLUSION_MS);
         }
         let attempts_max = self.rule(job).attempts_max;
         let lasting = self.jobs[job].step(unit).lasting;
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -8,6 +8,7 @@
 pub mod crash_history;
 mod crashes;
 mod ends;
+pub mod failure_ledger;
 mod fencing;
 pub mod job_state;
 mod loss_proof;
@@ -38,6 +39,7 @@
 use crate::work::model::record::JobPhase;
 use crate::work::model::stream::KeyedValue;
 use crate::work::model::upstream::{RenewOrder, StartOrder, StopOrder, UpstreamReport};
+use crate::work::owner::failure_ledger::FailureLedger;
 use crate::work::owner::job_state::JobState;
 use crate::work::owner::loss_proof::LossProof;
 use crate::work::owner::unit_state::{MemberPhase, UnitPhase};
@@ -71,6 +73,7 @@
     config: Rc<WorkConfig>,
     jobs: Vec<JobState>,
     upstreams: Vec<UpstreamState>,
+    failures: FailureLedger,
     pending_starts: VecDeque<PendingStart>,
     ready: Vec<UpstreamOrder>,
     batch: u64,
@@ -104,6 +107,7 @@
             config,
             jobs: Vec::new(),
             upstreams: Vec::new(),
+            failures: FailureLedger::default(),
             pending_starts: VecDeque::new(),
             ready: Vec::new(),
             batch: 1,
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -147,6 +147,7 @@
             name: pool.clone(),
             candidates: Vec::new(),
             upstream_indexes: Vec::new(),
+            excluded: Vec::new(),
             capacity: ResourceAmount::default(),
             free: ResourceAmount::default(),
             urgent: self.urgent_usage(pool),
@@ -171,7 +172,10 @@
                     .clone()
                     .filter(|_| upstream.reserved_until_ms > now_ms),
             };
-            result.add(index, candidate);
+            match upstream.excluded_until_ms > now_ms {
+                true => result.excluded.push((index, candidate)),
+                false => result.add(index, candidate),
+            }
         }
         result
     }
@@ -269,6 +273,9 @@
                 unit,
                 rank: claim_rank(priority, waiting_step.waiting.guaranteed),
             };
+            if pool.needs_excluded(priority, &demand, &claim) {
+                *pool = pool.with_excluded();
+            }
             if !pool.leaves_headroom(priority, &demand) {
                 self.log_wait(job, unit, "headroom for urgent work", pool);
                 return;
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -8,6 +8,7 @@
 use crate::work::model::crash_record::UpstreamLife;
 use crate::work::model::upstream::{OrderTarget, UpstreamReport};
 use crate::work::owner::OwnerTiming;
+use crate::work::owner::failure_ledger::EXCLUSION_SCORE;
 use crate::work::placing::placement::CapacityClaim;
 use crate::work::placing::slowdown::UpstreamSlowdown;
 
@@ -83,8 +84,10 @@
     pub reconciled: bool,
     /// Whether runs were given up with its leases since it last answered. Their ends may be unread.
     pub gave_up_runs: bool,
-    /// Count of failed runs, reduced by each completed run.
+    /// Failed runs for which it is to blame.
     pub failure_score: f64,
+    /// Used only if the others do not suffice before this time, since runs have failed there, steady ms.
+    pub excluded_until_ms: u64,
     /// Estimated slowdown against other upstreams.
     pub slowdown: UpstreamSlowdown,
     /// Earliest time of the next slowdown sample, steady ms.
@@ -125,6 +128,7 @@
             reconciled: false,
             gave_up_runs: false,
             failure_score: 0.0,
+            excluded_until_ms: 0,
             slowdown: UpstreamSlowdown::default(),
             next_sample_ms: 0,
             quarantined_until_ms: 0,
@@ -154,6 +158,19 @@
             && (self.reconciled || (self.held.is_empty() && self.restarts == 0))
     }
 
+    /// Excludes it until then if its failed runs speak against it.
+    pub fn exclude_if_failing(&mut self, until_ms: u64) {
+        if self.failure_score < EXCLUSION_SCORE {
+            return;
+        }
+        self.excluded_until_ms = until_ms;
+        log::warn!(
+            target: "hemlockramp::work::owner::replies",
+            upstream = self.name.as_str(), failures = self.failure_score, until_ms;
+            "owner: an upstream is excluded after failed runs."
+        );
+    }
+
     /// Returns its current life.
     pub fn life(&self) -> UpstreamLife {
         UpstreamLife {
--- a/tests/pool_owner.rs
+++ b/tests/pool_owner.rs
@@ -1079,3 +1079,56 @@
         _ => {}
     }
 }
+
+/// Guards against lost work (`review/9`): one hopeless job failed on all upstreams of a small pool, and
+/// nothing was started for 8 s although all of them were free.
+#[test]
+fn hopeless_work_does_not_exclude_its_upstreams() {
+    for (upstreams, tasks) in [(1, 4), (2, 8), (4, 20), (4, 28)] {
+        let mut pool = pool(SEED, upstreams);
+        pool.hopeless_jobs
+            .push("hopeless".try_into().expect("a valid name"));
+        pool.submit("hopeless", "plain", vec![step(tasks, 4_000, 1, false)]);
+        let mut next = step(1, 1_000, 1, false);
+        next.after = vec![0];
+        pool.submit("sound", "plain", vec![step(1, 4_200, 1, false), next]);
+        let mut idle_ms = 0;
+        for _ in 0..1_000 {
+            pool.run_for(20);
+            let is_idle = pool.running("sound.0.0.0").is_none()
+                && pool.running("sound.0.1.0").is_none()
+                && !pool.phase("sound").is_over();
+            idle_ms += if is_idle { 20 } else { 0 };
+        }
+        let what = format!("{upstreams} upstreams, {tasks} tasks");
+        assert_eq!(pool.phase("sound"), JobPhase::Completed, "{what}");
+        assert!(idle_ms <= 1_000, "{what}: nothing runs for {idle_ms} ms");
+        assert_no_violations(&pool);
+    }
+}
+
+/// A broken upstream is still excluded while others have room, beside hopeless work as well.
+#[test]
+fn broken_upstream_is_excluded() {
+    for hopeless in [false, true] {
+        let mut pool = pool(SEED, 4);
+        pool.broken_upstreams.push(0);
+        if hopeless {
+            pool.hopeless_jobs
+                .push("hopeless".try_into().expect("a valid name"));
+            pool.submit("hopeless", "plain", vec![step(2, 1_000, 1, false)]);
+        }
+        for round in 0..20 {
+            pool.submit(&format!("a{round}"), "plain", vec![step(3, 500, 1, false)]);
+            pool.run_for(700);
+        }
+        pool.run_for(20_000);
+        let failed = |line: &&String| line.contains("ends Failed on 0");
+        let failed = pool.trace.iter().filter(failed).count();
+        assert!((1..=8).contains(&failed), "{failed} runs failed there");
+        for round in 0..20 {
+            assert_eq!(pool.phase(&format!("a{round}")), JobPhase::Completed);
+        }
+        assert_no_violations(&pool);
+    }
+}
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -207,6 +207,10 @@
     /// Jobs whose tasks crash the upstreams that run them.
     pub crashing_jobs: Vec<ObjectName>,
     pub crash_course: CrashCourse,
+    /// Jobs whose runs all end as failed.
+    pub hopeless_jobs: Vec<ObjectName>,
+    /// Upstreams, by index, on which all runs end as failed.
+    pub broken_upstreams: Vec<usize>,
     /// Drops job phases instead of storing them while set.
     pub drop_phase_updates: bool,
     /// Whether a change of owner leaves the first rows of a batch in flight in the store.
@@ -275,6 +279,8 @@
                 back_after_ms: 0,
                 renamed: false,
             },
+            hopeless_jobs: Vec::new(),
+            broken_upstreams: Vec::new(),
             drop_phase_updates: false,
             stores_first_rows: false,
             term: 0,
@@ -943,7 +949,10 @@
                 let kind = match run.stopping_ms {
                     _ if lapsed => Some(EndKind::Lapsed),
                     Some(0) => Some(EndKind::Stopped),
-                    _ if run.left_ms == 0 => Some(EndKind::Done),
+                    _ if run.left_ms == 0 => match self.fails(index, &run) {
+                        true => Some(EndKind::Failed),
+                        false => Some(EndKind::Done),
+                    },
                     _ => None,
                 };
                 match kind {
@@ -954,6 +963,10 @@
         }
     }
 
+    fn fails(&self, index: usize, run: &SimRun) -> bool {
+        self.broken_upstreams.contains(&index) || self.hopeless_jobs.contains(&run.order.task.job)
+    }
+
     fn end(&mut self, index: usize, run: &SimRun, kind: EndKind) {
         self.add_trace(format!(
             "{} run {} ends {kind:?} on {index}",
