--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -8,6 +8,7 @@
 pub mod crash_history;
 mod crashes;
 mod ends;
+pub mod failure_ledger;
 mod fencing;
 pub mod job_state;
 mod loss_proof;
@@ -40,6 +41,7 @@
 use crate::work::model::record::JobPhase;
 use crate::work::model::stream::KeyedValue;
 use crate::work::model::upstream::{RenewOrder, StartOrder, StopOrder, UpstreamReport};
+use crate::work::owner::failure_ledger::FailureLedger;
 use crate::work::owner::job_state::JobState;
 use crate::work::owner::loss_proof::LossProof;
 use crate::work::owner::unit_state::{MemberPhase, UnitPhase};
@@ -74,6 +76,7 @@
     evacuated: EvacuatedDomains,
     jobs: Vec<JobState>,
     upstreams: Vec<UpstreamState>,
+    failures: FailureLedger,
     pending_starts: VecDeque<PendingStart>,
     ready: Vec<UpstreamOrder>,
     batch: u64,
@@ -108,6 +111,7 @@
             evacuated: EvacuatedDomains::default(),
             jobs: Vec::new(),
             upstreams: Vec::new(),
+            failures: FailureLedger::default(),
             pending_starts: VecDeque::new(),
             ready: Vec::new(),
             batch: 1,
@@ -314,7 +318,7 @@
         self.note_lost_run(job, unit, member);
         self.clear_member(job, unit, member);
         self.stop_unit(job, unit);
-        self.give_up_crashing(job);
+        self.report_suspects(job);
     }
 
     /// Stops the remaining members of a unit's run; the unit waits again once none is placed.
