Follow the evacuation of a failure domain

All hosts follow the requests in the stream of the configuration; a table keeps the newest request a domain by its offset, since reads and listings overtake each other. The start gate withholds starts in evacuated domains at every stage, and a new owner lists the stream before its first start. What runs there runs on.

--- a/src/work/host.rs
+++ b/src/work/host.rs
@@ -6,6 +6,7 @@
 
 use tokio::net::TcpListener;
 
+use crate::tables::name::ObjectName;
 use crate::work::calls::job_service::JobService;
 use crate::work::clock::steady_ms;
 use crate::work::model::record::{HostRecord, WorkRecord};
@@ -169,6 +170,7 @@
     };
     let config = ConfigSink {
         context: Rc::clone(context),
+        listing: None,
     };
     let store = context.store.clone();
     tokio::task::spawn_local(StreamFollower::new(store.clone(), StreamName::Jobs, jobs).run());
@@ -216,17 +218,30 @@
     }
 }
 
-/// Applies the stream of configurations to the host's state.
+/// Applies the stream of configurations and evacuations to the host's state.
 struct ConfigSink<S, O, R> {
     context: Rc<HostContext<S, O, R>>,
+    /// Failure domains with requests in the current listing; none outside a listing.
+    listing: Option<Vec<ObjectName>>,
 }
 
 impl<S: StorePort, O: OrderPort, R: RecordReader> StreamSink for ConfigSink<S, O, R> {
+    fn begin_listing(&mut self) {
+        self.listing = Some(Vec::new());
+    }
+
     fn apply(&mut self, records: &[StreamRecord]) {
         self.context.apply_configs(records);
+        if let Some(listing) = &mut self.listing {
+            listing.extend(self.context.listed_evacuations(records));
+        }
     }
 
     fn on_reply(&mut self, reply: FollowReply) {
+        // The first answer after the pages of a listing names the offset that it shows.
+        if let Some(listing) = self.listing.take() {
+            self.context.end_config_listing(&listing, reply.next);
+        }
         if reply.at_end {
             self.context.active_config.mark_confirmed(reply.asked_ms);
         }
--- a/src/work/model/evacuation.rs
+++ b/src/work/model/evacuation.rs
@@ -1,10 +1,10 @@
-//! Failure domains that operators have evacuated.
+//! Failure domains that operators evacuate, as their records in the store tell.
 
 use crate::tables::name::ObjectName;
 
 /// What an operator's record says about the evacuation of a failure domain.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct EvacuationChange {
+pub struct EvacuationRequest {
     /// The failure domain.
     pub domain: ObjectName,
     /// Whether it is evacuated from now on; otherwise it is taken back.
@@ -33,21 +33,6 @@
     pub fn is_empty(&self) -> bool {
         self.domains.is_empty()
     }
-
-    /// Returns the evacuated domains, sorted.
-    pub fn iter(&self) -> impl Iterator<Item = &ObjectName> {
-        self.domains.iter()
-    }
-
-    /// Applies a change. Returns whether it made a difference.
-    pub fn apply(&mut self, change: EvacuationChange) -> bool {
-        match (self.domains.binary_search(&change.domain), change.evacuated) {
-            (Err(index), true) => self.domains.insert(index, change.domain),
-            (Ok(index), false) => drop(self.domains.remove(index)),
-            _ => return false,
-        }
-        true
-    }
 }
 
 impl FromIterator<ObjectName> for EvacuatedDomains {
@@ -58,3 +43,66 @@
         Self { domains }
     }
 }
+
+/// Newest known request for one failure domain.
+#[derive(Clone, Debug)]
+struct DomainRow {
+    domain: ObjectName,
+    /// Offset of the request in its stream.
+    offset: u64,
+    evacuated: bool,
+}
+
+/// The newest request for each failure domain, from reads and listings that overtake each other.
+///
+/// A domain that is taken back keeps its row, so that an older listing does not evacuate it again.
+#[derive(Clone, Debug, Default)]
+pub struct EvacuationTable {
+    /// Sorted by domain.
+    rows: Vec<DomainRow>,
+}
+
+impl EvacuationTable {
+    /// Applies a request that stands at `offset`, unless a newer one for its domain is known. Returns
+    /// whether the evacuated domains have changed.
+    pub fn apply(&mut self, offset: u64, request: EvacuationRequest) -> bool {
+        let EvacuationRequest { domain, evacuated } = request;
+        match self.rows.binary_search_by(|row| row.domain.cmp(&domain)) {
+            Ok(index) if self.rows[index].offset > offset => false,
+            Ok(index) => {
+                let row = &mut self.rows[index];
+                row.offset = offset;
+                std::mem::replace(&mut row.evacuated, evacuated) != evacuated
+            }
+            Err(index) => {
+                let row = DomainRow {
+                    domain,
+                    offset,
+                    evacuated,
+                };
+                self.rows.insert(index, row);
+                evacuated
+            }
+        }
+    }
+
+    /// Takes back the domains that a complete listing lacks. The listing shows the stream at the offset
+    /// `end` or later. Returns whether the evacuated domains have changed.
+    pub fn end_listing(&mut self, listed: &[ObjectName], end: u64) -> bool {
+        let mut changed = false;
+        for row in &mut self.rows {
+            if row.offset < end && !listed.contains(&row.domain) {
+                // An older listing must not bring the request back.
+                row.offset = end - 1;
+                changed |= std::mem::replace(&mut row.evacuated, false);
+            }
+        }
+        changed
+    }
+
+    /// Returns the domains that are evacuated now.
+    pub fn evacuated(&self) -> EvacuatedDomains {
+        let evacuated = self.rows.iter().filter(|row| row.evacuated);
+        evacuated.map(|row| row.domain.clone()).collect()
+    }
+}
--- a/src/work/owner_loop/claim.rs
+++ b/src/work/owner_loop/claim.rs
@@ -69,9 +69,9 @@
     let runs = list_runs(context, term).await.map_err(to_report)?;
     // Until its fence, the previous owner may have placed jobs that were accepted after the last read.
     context.refresh_jobs().await.map_err(to_report)?;
-    let reports = list_all(context, StreamName::Upstreams)
-        .await
-        .map_err(to_report)?;
+    // Evacuations that were requested under the previous owner hold from the first start on.
+    let reports = list_all(context, StreamName::Upstreams);
+    let (reports, ()) = tokio::try_join!(reports, context.refresh_config()).map_err(to_report)?;
     install_owner(context, term, &runs, &reports)?;
     Ok(ClaimedTerm { term, fenced_ms })
 }
@@ -174,6 +174,7 @@
         .current()
         .ok_or_else(|| eyre!("no configuration has been received from the store"))?;
     let mut owner = PoolOwner::new(term, context.identity.timing, config, host_time());
+    owner.set_evacuated(context.evacuations.borrow().evacuated());
     for record in reports {
         if let Some(report) = context.reader.upstream(&record.entry) {
             owner.on_report(report);
--- a/src/work/ports.rs
+++ b/src/work/ports.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::work::model::config::WorkConfig;
+use crate::work::model::evacuation::EvacuationRequest;
 use crate::work::model::stream::{KeyedValue, StoreCall, StoreFailure, StoreReply};
 use crate::work::model::upstream::{
     OrderFailure, RenewOrder, RenewReply, StartOrder, StartOutcome, StopOrder, UpstreamReport,
@@ -36,6 +37,10 @@
     /// Decodes a configuration, or returns none for any other record.
     fn config(&self, entry: &KeyedValue) -> Option<WorkConfig>;
 
+    /// Decodes a request to evacuate a failure domain or to take it back, or returns none for any
+    /// other record.
+    fn evacuation(&self, entry: &KeyedValue) -> Option<EvacuationRequest>;
+
     /// Decodes an upstream's report, or returns none if the record cannot be used.
     fn upstream(&self, entry: &KeyedValue) -> Option<UpstreamReport>;
 }
--- a/src/work/state/context.rs
+++ b/src/work/state/context.rs
@@ -9,6 +9,7 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::clock::{host_time, steady_ms};
+use crate::work::model::evacuation::{EvacuationRequest, EvacuationTable};
 use crate::work::model::stream::{
     KeyedValue, StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord,
 };
@@ -59,6 +60,8 @@
     pub jobs_listed: Cell<bool>,
     /// The configuration in force, with its age.
     pub active_config: ActiveConfig,
+    /// The operators' evacuations as far as they have been read.
+    pub evacuations: RefCell<EvacuationTable>,
     /// Wakes the task that reads a configuration that other hosts have and this one lacks.
     pub config_wake: Notify,
     /// Failure detector of the pool's owner, which decides when this host claims the pool.
@@ -87,6 +90,7 @@
             next_jobs_offset: Cell::new(0),
             jobs_listed: Cell::new(false),
             active_config: ActiveConfig::default(),
+            evacuations: RefCell::default(),
             config_wake: Notify::new(),
             election: RefCell::new(election),
             owner: RefCell::new(None),
@@ -239,7 +243,7 @@
         }
     }
 
-    /// Reads the newest configuration from the store.
+    /// Reads the newest configuration and the evacuations from the store.
     ///
     /// # Errors
     ///
@@ -251,21 +255,27 @@
         let asked_ms = steady_ms();
         let mut records = Vec::new();
         // The record may be on any page.
-        list_newest(&self.store, StreamName::Config, |page| {
+        let end = list_newest(&self.store, StreamName::Config, |page| {
             records.extend_from_slice(page);
         })
         .await?;
         self.apply_configs(&records);
+        self.end_config_listing(&self.listed_evacuations(&records), end);
         self.active_config.mark_confirmed(asked_ms);
         Ok(())
     }
 
-    /// Installs each configuration among the records that is newer than the one in force.
+    /// Installs each configuration among the records that is newer than the one in force, and applies
+    /// the evacuations.
     pub fn apply_configs(&self, records: &[StreamRecord])
     where
         R: RecordReader,
     {
         for record in records {
+            if let Some(request) = self.reader.evacuation(&record.entry) {
+                self.apply_evacuation(record.offset, request);
+                continue;
+            }
             let Some(config) = self.reader.config(&record.entry) else {
                 continue;
             };
@@ -278,4 +288,45 @@
             }
         }
     }
+
+    /// Returns the failure domains for which the records of a listing hold requests.
+    pub fn listed_evacuations(&self, records: &[StreamRecord]) -> Vec<ObjectName>
+    where
+        R: RecordReader,
+    {
+        let requests = records
+            .iter()
+            .filter_map(|record| self.reader.evacuation(&record.entry));
+        requests.map(|request| request.domain).collect()
+    }
+
+    /// Takes back the failure domains for which a complete listing of the configuration's stream, with
+    /// its end at `end`, holds no requests.
+    pub fn end_config_listing(&self, listed: &[ObjectName], end: u64) {
+        if self.evacuations.borrow_mut().end_listing(listed, end) {
+            log::info!("host: evacuations that are no longer listed are taken back.");
+            self.publish_evacuations();
+        }
+    }
+
+    fn apply_evacuation(&self, offset: u64, request: EvacuationRequest) {
+        let (domain, evacuated) = (request.domain.clone(), request.evacuated);
+        if self.evacuations.borrow_mut().apply(offset, request) {
+            log::info!(
+                domain = domain.as_str(), evacuated, offset;
+                "host: the evacuation of a failure domain has changed."
+            );
+            self.publish_evacuations();
+        }
+    }
+
+    /// Passes the evacuated domains to the metrics and, on the pool's owner, to the gate of starts.
+    fn publish_evacuations(&self) {
+        let evacuated = self.evacuations.borrow().evacuated();
+        metrics::gauge!("hemlockramp_evacuated_domains").set(evacuated.len() as f64);
+        if let Some(owner) = self.owner.borrow_mut().as_mut() {
+            owner.set_evacuated(evacuated);
+            self.owner_wake.notify_one();
+        }
+    }
 }
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -6,6 +6,7 @@
 
 use hemlockramp::tables::name::ObjectName;
 use hemlockramp::work::model::config::WorkConfig;
+use hemlockramp::work::model::evacuation::EvacuationRequest;
 use hemlockramp::work::model::stream::{
     KeyedValue, StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord,
 };
@@ -183,6 +184,14 @@
         })
     }
 
+    fn evacuation(&self, entry: &KeyedValue) -> Option<EvacuationRequest> {
+        let domain = entry.key.strip_prefix("evacuate/")?;
+        Some(EvacuationRequest {
+            domain: ObjectName::try_from(domain).expect("a valid name"),
+            evacuated: true,
+        })
+    }
+
     fn upstream(&self, _entry: &KeyedValue) -> Option<UpstreamReport> {
         None
     }
--- a/tests/paused_owner.rs
+++ b/tests/paused_owner.rs
@@ -10,6 +10,7 @@
 use hemlockramp::work::host::EntryHost;
 use hemlockramp::work::model::amount::ResourceAmount;
 use hemlockramp::work::model::config::{QueueRule, WorkConfig};
+use hemlockramp::work::model::evacuation::EvacuationRequest;
 use hemlockramp::work::model::record::{
     AssignmentRecord, JobRecord, OwnerRecord, RunRecord, RunRow, UnitRecord, WorkRecord,
     encode_run_row,
@@ -58,6 +59,10 @@
         })
     }
 
+    fn evacuation(&self, _entry: &KeyedValue) -> Option<EvacuationRequest> {
+        None
+    }
+
     fn upstream(&self, entry: &KeyedValue) -> Option<UpstreamReport> {
         Some(UpstreamReport {
             name: name(&entry.key),
