Bound what clients may take of an entry host

Cause: a host read heads of up to 400 KB a connection, collected bodies as lists of frames without a bound on their sum, and accepted connections until its descriptors ran out.

Change: each listener has an intake, derived from the machine's memory and descriptors. A pure ledger decides who is admitted and who gives way: a stalled connection to one that progresses, and where none has stalled the body that holds most. Bodies are collected into one counted buffer; a refused one is answered by 503 with Retry-After, as nothing of it was done. Heads end at 16 KB. Peers' messages count while they arrive and until they are served.

--- a/src/work/host.rs
+++ b/src/work/host.rs
@@ -4,10 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
-
 use crate::work::calls::job_service::JobService;
 use crate::work::clock::steady_ms;
+use crate::work::intake::listener::GuardedListener;
 use crate::work::model::record::{HostRecord, WorkRecord};
 use crate::work::model::stream::{KeyedValue, StoreCall, StoreFailure, StreamName, StreamRecord};
 use crate::work::owner_loop::run_owner_loop;
@@ -42,7 +41,7 @@
         store: S,
         orders: O,
         reader: R,
-        listener: TcpListener,
+        listener: impl Into<GuardedListener>,
         address: SocketAddr,
         seeds: &[SocketAddr],
     ) -> Self {
@@ -135,12 +134,12 @@
 
 fn spawn_peers<S: StorePort, O: OrderPort, R: RecordReader>(
     context: &Rc<HostContext<S, O, R>>,
-    listener: TcpListener,
+    listener: impl Into<GuardedListener>,
 ) {
     let service = HostService {
         context: Rc::clone(context),
     };
-    tokio::task::spawn_local(serve_peers(listener, Rc::new(service)));
+    tokio::task::spawn_local(serve_peers(listener.into(), Rc::new(service)));
 }
 
 /// Serves the calls of peers on this host.
@@ -156,6 +155,11 @@
         (!store.is_direct_path_down()).then(|| store.direct().clone())
     }
 
+    /// The largest append that the store takes, twice over: what surrounds its records is smaller.
+    fn message_max_bytes(&self) -> usize {
+        self.context.identity.limits.request_bytes.saturating_mul(2)
+    }
+
     async fn record(&self, entry: KeyedValue) -> Result<(), StoreFailure> {
         self.context.group_commit.record(entry).await
     }
--- /dev/null
+++ b/src/work/intake/limits.rs
@@ -0,0 +1,92 @@
+//! Bounds of a host's listeners, derived from the memory and descriptors of its machine.
+
+/// Descriptors of a process that are reserved for files.
+const FILE_DESCRIPTORS: usize = 200;
+/// Share of the sockets for callers, as a divisor. The other half is for upstreams and the store.
+const CALLER_SOCKETS_DIVISOR: usize = 2;
+/// Share of the sockets for peers' links, as a divisor.
+const PEER_SOCKETS_DIVISOR: usize = 8;
+/// Share of the sockets for each of the listeners of readiness and metrics, as a divisor.
+const PROBE_SOCKETS_DIVISOR: usize = 32;
+/// Smallest and largest number of connections to a listener of readiness or metrics.
+const PROBE_CONNECTIONS: [usize; 2] = [8, 32];
+/// Share of the memory for the buffers of callers' connections, as a divisor.
+const CONNECTION_MEMORY_DIVISOR: usize = 4;
+/// Share of the memory for callers' bodies, as a divisor.
+const BODY_MEMORY_DIVISOR: usize = 8;
+/// Share of the memory for peers' messages, as a divisor.
+const MESSAGE_MEMORY_DIVISOR: usize = 16;
+/// Upper bound of what a connection takes beside its body: its buffers and its state, in bytes.
+const CONNECTION_BYTES: usize = 32_768;
+/// Largest head of a request, and largest buffer of a connection, in bytes.
+pub const HEAD_MAX_BYTES: usize = 16_384;
+/// Time within which a client sends the head of a request, in ms.
+pub const HEAD_TIMEOUT_MS: u64 = 10_000;
+/// Memory of a machine that names none, in MB.
+pub const MEMORY_DEFAULT_MB: u64 = 256;
+/// Descriptors of a machine that names none.
+pub const DESCRIPTORS_DEFAULT: u64 = 4_096;
+
+/// Memory and descriptors of the machine that a process runs on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MachineLimits {
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: usize,
+    /// Descriptors that the process may have open, those for files included.
+    pub descriptors: usize,
+}
+
+impl MachineLimits {
+    /// Returns the limits of a process with this memory, in MB, and this many descriptors.
+    pub fn new(memory_mb: u64, descriptors: u64) -> Self {
+        Self {
+            memory_bytes: (memory_mb as usize).saturating_mul(1_048_576),
+            descriptors: descriptors as usize,
+        }
+    }
+
+    /// Returns the bounds of the listener that callers use.
+    pub fn caller_intake(&self) -> IntakeLimits {
+        let by_memory = self.memory_bytes / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
+        IntakeLimits {
+            connections_max: by_memory.min(self.sockets() / CALLER_SOCKETS_DIVISOR),
+            held_max_bytes: self.memory_bytes / BODY_MEMORY_DIVISOR,
+        }
+    }
+
+    /// Returns the bounds of the listener that peers use.
+    pub fn peer_intake(&self) -> IntakeLimits {
+        IntakeLimits {
+            connections_max: self.sockets() / PEER_SOCKETS_DIVISOR,
+            held_max_bytes: self.memory_bytes / MESSAGE_MEMORY_DIVISOR,
+        }
+    }
+
+    /// Returns the bounds of a listener of readiness or metrics, which takes no bodies.
+    pub fn probe_intake(&self) -> IntakeLimits {
+        let [least, most] = PROBE_CONNECTIONS;
+        IntakeLimits {
+            connections_max: (self.sockets() / PROBE_SOCKETS_DIVISOR).clamp(least, most),
+            held_max_bytes: 0,
+        }
+    }
+
+    fn sockets(&self) -> usize {
+        self.descriptors.saturating_sub(FILE_DESCRIPTORS)
+    }
+}
+
+impl Default for MachineLimits {
+    fn default() -> Self {
+        Self::new(MEMORY_DEFAULT_MB, DESCRIPTORS_DEFAULT)
+    }
+}
+
+/// Bounds of one listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct IntakeLimits {
+    /// Largest number of open connections.
+    pub connections_max: usize,
+    /// Largest sum of the bodies or messages that are held, in bytes.
+    pub held_max_bytes: usize,
+}
--- a/src/work/mod.rs
+++ b/src/work/mod.rs
@@ -7,6 +7,7 @@
 pub mod calls;
 pub mod clock;
 pub mod host;
+pub mod intake;
 pub mod load;
 pub mod model;
 pub mod owner;
--- a/src/work/peers/links.rs
+++ b/src/work/peers/links.rs
@@ -6,16 +6,20 @@
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
-use tokio_tungstenite::accept_async;
+use tokio_tungstenite::accept_async_with_config;
 use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use crate::daemons::peer_link::{PeerLink, decode_frame, encode_frame};
 use crate::routing::verdict::{CallFailure, RunVerdict};
 use crate::wire::peer::{PeerBody, PeerCall, PeerFrame, PeerReply};
 use crate::work::clock::steady_ms;
+use crate::work::intake::gate::ConnectionSlot;
+use crate::work::intake::listener::GuardedListener;
+use crate::work::intake::metered::{MessageMeter, MeteredStream};
 use crate::work::model::stream::{KeyedValue, StoreCall, StoreFailure, StoreReply};
 use crate::work::ports::StorePort;
 
@@ -31,11 +35,13 @@
 const LINK_IDLE_MAX_MS: u64 = 5_000;
 /// Upper bound on a call over a link; the callers' own timeouts are shorter.
 const LINK_TIMEOUT_MS: u64 = 10_000;
-/// Delay after a failed accept.
-const ACCEPT_PAUSE_MS: u64 = 100;
 /// Silence of a peer after which the server's side of its link is closed. Peers are pinged every
 /// 500 ms, so a link that is silent for longer is broken even if it is never reset.
 const PEER_SILENCE_MAX_MS: u64 = 5_000;
+/// Largest message of a peer where the service names none, in bytes.
+const MESSAGE_DEFAULT_BYTES: usize = 4_194_304;
+/// Buffer in which a message of a peer arrives, in bytes; it grows with the message.
+const READ_BUFFER_BYTES: usize = 16_384;
 /// Maximum number of replies that wait to be sent on one connection.
 const REPLIES_MAX: usize = 64;
 
@@ -98,6 +104,11 @@
     /// Returns the store client, or none if the direct path of this host is down as well.
     fn store(&self) -> Option<Self::Store>;
 
+    /// Returns the size of the largest message that a peer may send, in bytes.
+    fn message_max_bytes(&self) -> usize {
+        MESSAGE_DEFAULT_BYTES
+    }
+
     /// Stores a record with the owner's group commit.
     fn record(&self, entry: KeyedValue) -> impl Future<Output = Result<(), StoreFailure>>;
 }
@@ -222,50 +233,78 @@
 
 /// Serves peers and never returns. Their store calls go directly to the store, never to another
 /// peer.
-pub async fn serve_peers(listener: TcpListener, service: Rc<impl PeerService>) {
+pub async fn serve_peers(listener: impl Into<GuardedListener>, service: Rc<impl PeerService>) {
+    let listener = listener.into();
+    listener.gate().fit_bodies(service.message_max_bytes());
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_peer(stream, Rc::clone(&service)));
-            }
-            Err(error) => {
-                log::warn!("peers: accepting a connection failed, retrying: {error}.");
-                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+        let (stream, slot) = listener.accept().await;
+        let service = Rc::clone(&service);
+        tokio::task::spawn_local(async move {
+            tokio::select! {
+                biased;
+                () = slot.wait_close() => {}
+                () = slot.wait_refuse() => {}
+                () = serve_peer(stream, slot.clone(), service) => {}
             }
-        }
+        });
     }
 }
 
-async fn serve_peer(stream: TcpStream, service: Rc<impl PeerService>) {
-    // Without `TCP_NODELAY` replies are only delayed, so a failure to set it is ignored.
-    let _ = stream.set_nodelay(true);
+fn socket_config(message_max_bytes: usize) -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER_BYTES)
+        .max_message_size(Some(message_max_bytes))
+        .max_frame_size(Some(message_max_bytes))
+}
+
+async fn serve_peer(stream: TcpStream, slot: ConnectionSlot, service: Rc<impl PeerService>) {
+    let meter = MessageMeter::new(slot);
+    let stream = MeteredStream::new(stream, meter.clone());
     let silence_max = Duration::from_millis(PEER_SILENCE_MAX_MS);
-    let Ok(Ok(socket)) = timeout(silence_max, accept_async(stream)).await else {
+    let config = socket_config(service.message_max_bytes());
+    let accepted = accept_async_with_config(stream, Some(config));
+    let Ok(Ok(socket)) = timeout(silence_max, accepted).await else {
         return;
     };
     let (mut sink, mut source) = socket.split();
     let (replies, mut queue) = mpsc::channel::<Message>(REPLIES_MAX);
-    let writer = tokio::task::spawn_local(async move {
+    let writer = async move {
         while let Some(message) = queue.recv().await {
             if sink.send(message).await.is_err() {
                 return;
             }
         }
-    });
-    while let Ok(Some(Ok(message))) = timeout(silence_max, source.next()).await {
-        // Answered explicitly: the split socket's write half does not flush automatic pongs.
-        if let Message::Ping(payload) = &message {
-            if replies.send(Message::Pong(payload.clone())).await.is_err() {
+    };
+    let reader = async move {
+        while let Ok(Some(Ok(message))) = timeout(silence_max, source.next()).await {
+            let Ok(held) = meter.take_message(message.len()) else {
                 break;
+            };
+            // Answered explicitly: the split socket's write half does not flush automatic pongs.
+            if let Message::Ping(payload) = &message {
+                meter.release(held);
+                if replies.send(Message::Pong(payload.clone())).await.is_err() {
+                    break;
+                }
+                continue;
             }
-            continue;
-        }
-        if let Some(frame) = decode_frame(&message) {
-            tokio::task::spawn_local(serve_frame(frame, Rc::clone(&service), replies.clone()));
+            let Some(frame) = decode_frame(&message) else {
+                meter.release(held);
+                continue;
+            };
+            let served = serve_frame(frame, Rc::clone(&service), replies.clone());
+            let meter = meter.clone();
+            tokio::task::spawn_local(async move {
+                served.await;
+                meter.release(held);
+            });
         }
+    };
+    // Whichever ends first ends the connection.
+    tokio::select! {
+        () = reader => {}
+        () = writer => {}
     }
-    drop(replies);
-    writer.abort();
 }
 
 async fn serve_frame(
