Estimate the time that a run still needs from its progress and its upstream's speed

Displacing, draining and rejecting need the time that a run still takes; callers' estimates alone are wrong by a factor of up to two.

--- a/src/work/placing/mod.rs
+++ b/src/work/placing/mod.rs
@@ -3,4 +3,5 @@
 pub mod headroom;
 pub mod locality_wait;
 pub mod placement;
+pub mod remaining;
 pub mod slowdown;
--- a/src/work/placing/slowdown.rs
+++ b/src/work/placing/slowdown.rs
@@ -72,6 +72,11 @@
         self.0 += SAMPLE_WEIGHT * (sample - self.0);
     }
 
+    /// Returns the run time expected here of a task with this estimate, in ms.
+    pub fn expected(&self, estimate_ms: u64) -> u64 {
+        (estimate_ms as f64 * self.0) as u64
+    }
+
     /// Returns the penalty of this slowdown under a preference; lower is better.
     pub fn penalty(&self, preference: SpeedPreference) -> u64 {
         let steps = ((self.0 - 1.0).max(0.0) / SLOWDOWN_STEP) as u64;
