Learn the speed of upstreams from all runs, and place by it

Cause: on an uneven pool most urgent gangs are late because one member sits on a slow upstream. A task was compared with four siblings of its own step at least, so that gangs and small steps taught nothing, and what was learned went with the owner.

Change: run time over estimate = bias of the step + slowness of the slowest upstream + noise, fitted from progress and ends. Slowness is a distribution over cells; the pool's classes are learned too. Urgent units take upstreams on which they meet their objective; others leave these to them. Speeds are stored beside other rows of the runs stream, for a later owner; a later life starts unknown. A unit in one rack takes the rack that suits it best.

--- a/src/work/model/mod.rs
+++ b/src/work/model/mod.rs
@@ -5,6 +5,7 @@
 pub mod crash_record;
 pub mod record;
 pub mod spec;
+pub mod speed_record;
 pub mod stream;
 pub mod task_ref;
 pub mod upstream;
--- a/src/work/model/record.rs
+++ b/src/work/model/record.rs
@@ -154,7 +154,7 @@
 /// Key of the owner's record.
 const OWNER_KEY: &str = "owner";
 
-fn encode(value: &impl Serialize) -> Vec<u8> {
+pub(super) fn encode(value: &impl Serialize) -> Vec<u8> {
     let mut bytes = Vec::new();
     if let Err(error) = ciborium::into_writer(value, &mut bytes) {
         log::error!(
@@ -165,7 +165,7 @@
     bytes
 }
 
-fn decode<T: DeserializeOwned>(entry: &KeyedValue) -> Result<T, Report> {
+pub(super) fn decode<T: DeserializeOwned>(entry: &KeyedValue) -> Result<T, Report> {
     ciborium::from_reader(entry.value.as_slice()).map_err(|error| eyre!("{}: {error}", entry.key))
 }
 
--- a/src/work/model/spec.rs
+++ b/src/work/model/spec.rs
@@ -102,6 +102,20 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Returns the estimated run time of the longest chain that begins with a step, in ms.
+    pub fn path_from_ms(&self, step: usize) -> u64 {
+        let mut longest = vec![0; self.steps.len()];
+        for index in (step..self.steps.len()).rev() {
+            longest[index] += self.steps[index].estimate_ms;
+            let path_ms = longest[index];
+            for &before in &self.steps[index].after {
+                let before = &mut longest[before as usize];
+                *before = path_ms.max(*before);
+            }
+        }
+        longest[step]
+    }
+
     /// Returns the number of accelerators that the tasks of the first step need together.
     pub fn first_step_accelerators(&self) -> u64 {
         let whole = |step: &StepSpec| u64::from(step.count) * step.need.accelerators;
--- a/src/work/owner/ends.rs
+++ b/src/work/owner/ends.rs
@@ -60,6 +60,7 @@
         };
         let lasting = self.jobs[job].step(unit).lasting;
         self.keep_checkpoint(job, unit, &end.checkpoint);
+        self.count_run_time(job, unit, end.kind);
         self.clear_member(job, unit, member);
         match end.kind {
             EndKind::Done if !lasting => self.on_done(job, unit, name),
--- a/src/work/owner/job_state.rs
+++ b/src/work/owner/job_state.rs
@@ -6,9 +6,9 @@
 use crate::work::model::record::{JobPhase, JobRecord};
 use crate::work::model::spec::StepSpec;
 use crate::work::model::task_ref::TaskRef;
+use crate::work::owner::step_bias::StepBias;
 use crate::work::owner::task_rows::TaskRows;
 use crate::work::owner::unit_state::{MemberState, UnitPhase, UnitShape, UnitState};
-use crate::work::placing::slowdown::TaskProgress;
 
 /// A job that is unfinished or still holds upstreams.
 #[derive(Clone, Debug)]
@@ -29,6 +29,8 @@
     pub rows: TaskRows,
     /// Whether members may need orders.
     pub orders_due: bool,
+    /// Bias of the caller's estimate of each step.
+    pub biases: Vec<StepBias>,
 }
 
 impl JobState {
@@ -43,6 +45,7 @@
         Self {
             units: shapes.iter().map(empty).collect(),
             id,
+            biases: vec![StepBias::default(); record.spec.steps.len()],
             record,
             rows: TaskRows::new(&shapes),
             shapes,
@@ -107,21 +110,6 @@
             .collect()
     }
 
-    /// Returns the progress of all running single-task units of the unit's step and round, itself
-    /// included. Gangs are left out, since their members advance together; so are runs resumed from
-    /// a checkpoint.
-    pub fn step_progress(&self, unit: usize) -> Vec<TaskProgress> {
-        let shape = self.shapes[unit];
-        let same_step = |index: &usize| {
-            let other = self.shapes[*index];
-            (other.round, other.step, other.count) == (shape.round, shape.step, 1)
-        };
-        (0..self.units.len())
-            .filter(same_step)
-            .filter_map(|index| self.units[index].progress())
-            .collect()
-    }
-
     /// Returns whether all units are done.
     pub fn is_done(&self) -> bool {
         self.units.iter().all(|unit| unit.phase == UnitPhase::Done)
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -11,6 +11,7 @@
 mod fencing;
 pub mod job_state;
 mod loss_proof;
+mod placed_speed;
 mod placement_pool;
 pub mod planning;
 mod preemption;
@@ -20,6 +21,8 @@
 pub mod replies;
 mod restore;
 mod row_records;
+mod speeds;
+pub mod step_bias;
 pub mod task_rows;
 mod team_usage;
 mod timing;
@@ -42,6 +45,7 @@
 use crate::work::owner::loss_proof::LossProof;
 use crate::work::owner::unit_state::{MemberPhase, UnitPhase};
 use crate::work::owner::upstream_state::{LEASE_EXPIRY_MARGIN_MS, UpstreamState};
+use crate::work::placing::speed::table::SpeedTable;
 
 /// Longest time between two placement rounds, in ms.
 const PLACEMENT_INTERVAL_MAX_MS: u64 = 250;
@@ -88,6 +92,9 @@
     /// Time of the next scan of all members for unanswered orders, steady ms.
     next_order_scan_ms: u64,
     superseded: bool,
+    speeds: SpeedTable,
+    /// Earliest time of the next stored speeds, steady ms.
+    next_speed_rows_ms: u64,
     /// Latest time until which leases granted by earlier owners may last, steady ms.
     prior_leases_expire_ms: u64,
 }
@@ -117,6 +124,8 @@
             last_placement_ms: 0,
             next_order_scan_ms: 0,
             superseded: false,
+            speeds: SpeedTable::default(),
+            next_speed_rows_ms: 0,
             prior_leases_expire_ms: now.steady_ms + prior_leases_ms,
         }
     }
@@ -267,6 +276,7 @@
             );
         }
         let life = upstream.life();
+        self.speeds.set_incarnation(name, incarnation);
         self.resolve_losses(&life);
     }
 
@@ -343,6 +353,7 @@
             "owner: a job has reached a phase."
         );
         if phase.is_over() {
+            self.learn_queue_bias(job);
             self.stop_job(job);
         }
     }
@@ -352,6 +363,7 @@
         self.now = now;
         self.expire_silent_leases();
         let passed_ms = now.steady_ms.saturating_sub(self.last_placement_ms);
+        self.keep_speeds();
         if passed_ms >= PLACEMENT_INTERVAL_MAX_MS
             || (self.placement_due && passed_ms >= PLACEMENT_INTERVAL_MIN_MS)
         {
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -5,6 +5,7 @@
 use crate::work::model::amount::ResourceAmount;
 use crate::work::model::config::QueueRule;
 use crate::work::owner::PoolOwner;
+use crate::work::owner::placed_speed::PlacedSpeed;
 use crate::work::owner::placement_pool::PlacementPool;
 use crate::work::owner::preemption::BlockedUnit;
 use crate::work::owner::team_usage::TeamUsage;
@@ -15,12 +16,14 @@
     CandidateUpstream, CapacityClaim, Isolation, UnitDemand, claim_rank, fits_in_one_rack,
     place_unit,
 };
-use crate::work::placing::slowdown::SpeedPreference;
+use crate::work::placing::slowdown::{SlowdownLimit, SpeedPreference};
 
 /// Guaranteed units for which one round searches capacity separately.
 const GUARANTEED_UNITS_MAX: usize = 6;
 /// Multiple of the time objective after which a job counts as no longer awaited and is placed last.
 const EXPIRY_FACTOR: u64 = 3;
+/// Time to record, order and begin a run and to see its end, in ms.
+const RUN_START_MS: i64 = 300;
 /// Upstreams with a failed run that a unit avoids; only the newest count.
 const AVOIDED_UPSTREAMS_MAX: usize = 6;
 
@@ -43,6 +46,26 @@
     guaranteed: usize,
 }
 
+impl PlacementRound {
+    /// Whether a demand fits does not depend on its preferred speed.
+    fn note_unplaceable(&mut self, mut demand: UnitDemand) {
+        demand.speed = SpeedPreference::default();
+        self.unplaceable.push(demand);
+    }
+
+    fn is_unplaceable(&self, demand: &UnitDemand) -> bool {
+        let speed = SpeedPreference::default();
+        let same = |other: &UnitDemand| {
+            *other
+                == UnitDemand {
+                    speed,
+                    ..demand.clone()
+                }
+        };
+        self.unplaceable.iter().any(same)
+    }
+}
+
 impl PoolOwner {
     /// Returns the newest known rule of a job's queue: the current one, or the one at submission if
     /// the queue is gone or the job was admitted by a newer configuration than this host's.
@@ -165,7 +188,7 @@
                 capacity: report.capacity,
                 free: upstream.free(),
                 failure_score: upstream.failure_score,
-                slowdown: upstream.slowdown,
+                slowdown: self.speeds.slowdown(&upstream.name),
                 reserved: upstream
                     .reserved
                     .clone()
@@ -180,7 +203,7 @@
         &self,
         job: usize,
         unit: usize,
-        guaranteed: bool,
+        waiting: &WaitingUnit,
         pool: &PlacementPool,
     ) -> UnitDemand {
         let state = &self.jobs[job];
@@ -191,7 +214,7 @@
             .steady_ms
             .saturating_sub(state.units[unit].since_ms);
         let locality_wait = LocalityWait {
-            guaranteed,
+            guaranteed: waiting.guaranteed,
             busy: pool.is_busy(),
             estimate_ms: step.estimate_ms,
             far_factor: self.timing.far_factor,
@@ -211,11 +234,7 @@
             spread_max: step.spread_max as usize,
             siblings: Vec::new(),
             avoided_upstreams: failed_on.take(AVOIDED_UPSTREAMS_MAX).cloned().collect(),
-            speed: match self.rule(job).priority {
-                0 => SpeedPreference::Fast,
-                1 => SpeedPreference::Any,
-                _ => SpeedPreference::Slow,
-            },
+            speed: self.speed_preference(job, unit, waiting),
             isolation: state.units[unit].crashes.isolation(waited_ms),
         };
         if step.spread_max > 0 {
@@ -225,6 +244,34 @@
         demand
     }
 
+    /// Returns which upstreams are fast enough for a unit, and for the urgent work of its pool.
+    fn speed_preference(&self, job: usize, unit: usize, waiting: &WaitingUnit) -> SpeedPreference {
+        let state = &self.jobs[job];
+        if state.step(unit).lasting {
+            return SpeedPreference::default();
+        }
+        let spec = &state.record.spec;
+        let left_ms = waiting.slack_ms + spec.critical_path_ms() as i64 - RUN_START_MS;
+        let path_ms = spec.path_from_ms(state.shapes[unit].step as usize);
+        SpeedPreference {
+            limit: SlowdownLimit::new(left_ms, path_ms),
+            yields: self.urgent_limit(job),
+        }
+    }
+
+    /// Returns the slowdown that the most demanding urgent queue of a job's pool allows; `None` if
+    /// the job is urgent itself or no urgent queue shares the pool.
+    fn urgent_limit(&self, job: usize) -> Option<SlowdownLimit> {
+        let rule = self.rule(job);
+        if rule.priority == 0 {
+            return None;
+        }
+        let routes = self.config.routes.iter().map(|route| &route.rule);
+        let urgent = routes.filter(|other| other.priority == 0 && other.pool == rule.pool);
+        let stretch = urgent.map(|other| other.stretch).min_by(f64::total_cmp)?;
+        SlowdownLimit::new((stretch * 1_000.0) as i64, 1_000)
+    }
+
     /// Returns the upstreams of the placed tasks of the unit's step and round, one entry a task.
     fn siblings(&self, job: usize, unit: usize) -> Vec<ObjectName> {
         let state = &self.jobs[job];
@@ -251,19 +298,20 @@
             }
         };
         for &unit in &waiting_step.units {
-            let pool = &mut round.pools[index];
-            let demand = self.demand(job, unit, waiting_step.waiting.guaranteed, pool);
+            let pool = &round.pools[index];
+            let demand = self.demand(job, unit, &waiting_step.waiting, pool);
             // Each guaranteed unit gets a reservation of its own, even if its demand equals
             // another's.
             let own_search =
                 waiting_step.waiting.guaranteed && round.guaranteed < GUARANTEED_UNITS_MAX;
             let isolated = demand.isolation == Isolation::Required;
-            if !own_search && round.unplaceable.contains(&demand) {
+            if !own_search && round.is_unplaceable(&demand) {
                 if isolated {
                     continue;
                 }
                 return;
             }
+            let pool = &mut round.pools[index];
             let claim = CapacityClaim {
                 job: self.jobs[job].id.clone(),
                 unit,
@@ -277,7 +325,7 @@
             if chosen.is_none() && isolated {
                 // Other units of the step may share upstreams, and so may this one before long.
                 self.log_wait(job, unit, "no upstream of its own", pool);
-                round.unplaceable.push(demand);
+                round.note_unplaceable(demand);
                 continue;
             }
             let Some(chosen) = chosen else {
@@ -289,10 +337,10 @@
                 round.guaranteed += usize::from(own_search);
                 self.log_wait(job, unit, "not enough free capacity", pool);
                 self.reserve_or_preempt(&blocked, pool, &mut round.reserved);
-                round.unplaceable.push(demand);
+                round.note_unplaceable(demand);
                 return;
             };
-            self.assign(job, unit, pool, &chosen, isolated);
+            self.assign(job, unit, pool, &chosen, &demand);
         }
     }
 
@@ -316,8 +364,11 @@
         unit: usize,
         pool: &mut PlacementPool,
         chosen: &[usize],
-        isolated: bool,
+        demand: &UnitDemand,
     ) {
+        let isolated = demand.isolation == Isolation::Required;
+        let speed = PlacedSpeed::new(chosen, demand, pool);
+        speed.record(self.rule(job).priority);
         let id = self.jobs[job].id.clone();
         let need = self.jobs[job].step(unit).need;
         let now_ms = self.now.steady_ms;
@@ -332,6 +383,7 @@
         let racks = pool.rack_count(chosen);
         log::info!(
             job = id.as_str(), unit, run, tasks = chosen.len(), waited_ms, racks,
+            slowdown_percent = speed.slowdown_percent, late_percent = speed.late_percent,
             upstream = pool.candidates[chosen[0]].name.as_str(), config = self.config.version;
             "owner: a unit is placed."
         );
--- a/src/work/owner/reconcile.rs
+++ b/src/work/owner/reconcile.rs
@@ -10,9 +10,6 @@
 use crate::work::owner::unit_state::{MemberPhase, StopProgress, UnitPhase};
 use crate::work::owner::upstream_state::HeldTask;
 
-/// Shortest time between two slowdown samples of an upstream, in ms.
-const SLOWDOWN_SAMPLE_INTERVAL_MS: u64 = 500;
-
 impl PoolOwner {
     pub(super) fn reconcile_running(&mut self, name: &ObjectName, reply: &RenewReply) {
         let now_ms = self.now.steady_ms;
@@ -31,17 +28,13 @@
             let state = &mut self.jobs[job].units[unit].members[member];
             state.percent = running.percent;
             state.reported_ms = now_ms;
-            let start_time_unknown = state.began_ms == 0;
             if state.phase == MemberPhase::Sent && !state.in_flight {
                 state.phase = MemberPhase::Running;
                 self.set_phase(job, JobPhase::Running);
             }
             self.forget_old_crashes(job, unit, member);
-            // The run began under an earlier owner, which alone knows its start time.
-            if !start_time_unknown {
-                self.sample_slowdown(name, job, unit);
-            }
         }
+        self.look_at_progress(name);
     }
 
     /// Notes in which life of its upstream a member runs: a start may reach a later one than it was meant
@@ -54,22 +47,6 @@
         }
     }
 
-    fn sample_slowdown(&mut self, name: &ObjectName, job: usize, unit: usize) {
-        let Some(own) = self.jobs[job].units[unit].progress() else {
-            return;
-        };
-        let now_ms = self.now.steady_ms;
-        let Some(index) = self.upstream_index(name) else {
-            return;
-        };
-        if self.upstreams[index].next_sample_ms > now_ms {
-            return;
-        }
-        self.upstreams[index].next_sample_ms = now_ms + SLOWDOWN_SAMPLE_INTERVAL_MS;
-        let siblings = self.jobs[job].step_progress(unit);
-        self.upstreams[index].slowdown.add_sample(own, &siblings);
-    }
-
     /// Gives up runs that the upstream should have but lists neither as running nor as ended. A
     /// partial list proves nothing; the rest of it follows once its ends are acknowledged.
     ///
--- a/src/work/owner/recording.rs
+++ b/src/work/owner/recording.rs
@@ -53,6 +53,10 @@
             let value = Vec::new();
             batch.runs.push(KeyedValue { key, value });
         }
+        // Speeds need no call of their own: they wait until there is something else to store.
+        if !batch.runs.is_empty() {
+            batch.runs.extend(self.take_speed_rows());
+        }
         for (job, phase) in self.phases.drain(..) {
             batch
                 .jobs
--- a/src/work/owner/unit_state.rs
+++ b/src/work/owner/unit_state.rs
@@ -123,6 +123,8 @@
     pub crashes: CrashHistory,
     /// How often the unit was preempted.
     pub preempted: u32,
+    /// Number of the run whose time was counted last for the speed of its upstreams; 0 for none.
+    pub timed_run: u32,
     /// Whether the reason for the current wait has been logged.
     pub wait_logged: bool,
 }
@@ -143,14 +145,27 @@
         }
     }
 
-    /// Returns the progress of the first task; `None` if it is not running or was resumed from a
-    /// checkpoint.
+    /// Returns the progress of the run, for a gang that of the member which reported last; `None` if
+    /// not all tasks are running, it began under an earlier owner or was resumed from a checkpoint.
+    /// A gang works from the moment when all its members are present.
     pub fn progress(&self) -> Option<TaskProgress> {
-        let member = self.members.first()?;
-        let is_usable = member.phase == MemberPhase::Running && self.resumed.is_empty();
-        is_usable.then(|| TaskProgress {
-            percent: member.percent,
-            elapsed_ms: member.reported_ms.saturating_sub(member.began_ms),
+        let began_ms = self.began_ms()?;
+        let latest = self
+            .members
+            .iter()
+            .max_by_key(|member| member.reported_ms)?;
+        Some(TaskProgress {
+            percent: latest.percent,
+            elapsed_ms: latest.reported_ms.saturating_sub(began_ms),
         })
     }
+
+    /// Returns when the run began to work, steady ms; `None` as for its progress.
+    pub fn began_ms(&self) -> Option<u64> {
+        let is_usable =
+            |member: &MemberState| member.phase == MemberPhase::Running && member.began_ms != 0;
+        let known = self.resumed.is_empty() && self.members.iter().all(is_usable);
+        let began = self.members.iter().map(|member| member.began_ms);
+        began.max().filter(|_| known)
+    }
 }
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -9,7 +9,6 @@
 use crate::work::model::upstream::{OrderTarget, UpstreamReport};
 use crate::work::owner::OwnerTiming;
 use crate::work::placing::placement::CapacityClaim;
-use crate::work::placing::slowdown::UpstreamSlowdown;
 
 /// Time after a lease's end by which its tasks have certainly stopped, in ms.
 pub(super) const LEASE_EXPIRY_MARGIN_MS: u64 = 250;
@@ -85,9 +84,7 @@
     pub gave_up_runs: bool,
     /// Count of failed runs, reduced by each completed run.
     pub failure_score: f64,
-    /// Estimated slowdown against other upstreams.
-    pub slowdown: UpstreamSlowdown,
-    /// Earliest time of the next slowdown sample, steady ms.
+    /// Earliest time of the next look at the progress of its runs, steady ms.
     pub next_sample_ms: u64,
     /// No new work before this time, steady ms.
     pub quarantined_until_ms: u64,
@@ -125,7 +122,6 @@
             reconciled: false,
             gave_up_runs: false,
             failure_score: 0.0,
-            slowdown: UpstreamSlowdown::default(),
             next_sample_ms: 0,
             quarantined_until_ms: 0,
             reserved: None,
--- a/src/work/owner_loop/claim.rs
+++ b/src/work/owner_loop/claim.rs
@@ -7,6 +7,7 @@
 use crate::tables::name::ObjectName;
 use crate::work::clock::{host_time, steady_ms};
 use crate::work::model::record::{OwnerRecord, RunRow, WorkRecord, decode_run_row};
+use crate::work::model::speed_record::{SpeedRecord, decode_speed_row};
 use crate::work::model::stream::{
     KeyedValue, StoreCall, StoreFailure, StreamName, StreamRecord, WriterStamp,
 };
@@ -117,7 +118,16 @@
     rows: Vec<RunRow>,
 }
 
-/// Returns the stored rows of tasks, sorted by job. Call it only after the fence of this term: from
+/// The rows of the runs stream.
+#[derive(Default)]
+struct StoredRows {
+    /// Rows of tasks, sorted by job.
+    jobs: Vec<StoredRuns>,
+    /// Speeds of upstreams.
+    speeds: Vec<SpeedRecord>,
+}
+
+/// Returns the stored rows. Call it only after the fence of this term: from
 /// then on only this host changes the stream, until a later owner fences it.
 ///
 /// # Errors
@@ -126,8 +136,8 @@
 async fn list_runs<S: StorePort, O, R>(
     context: &HostContext<S, O, R>,
     term: u64,
-) -> Result<Vec<StoredRuns>, StoreFailure> {
-    let mut runs: Vec<StoredRuns> = Vec::new();
+) -> Result<StoredRows, StoreFailure> {
+    let mut runs = StoredRows::default();
     let mut is_own = false;
     for record in list_all(context, StreamName::Runs).await? {
         if record.entry.key == FENCE_KEY {
@@ -137,14 +147,18 @@
         if record.entry.value.is_empty() {
             continue;
         }
+        if let Some(speeds) = decode_speed_row(&record.entry) {
+            runs.speeds.extend(speeds.unwrap_or_default());
+            continue;
+        }
         match decode_run_row(&record.entry) {
-            Ok((job, row)) => add_row(&mut runs, job, row),
+            Ok((job, row)) => add_row(&mut runs.jobs, job, row),
             Err(error) => {
                 log::error!("owner: skipping a row of runs that cannot be decoded: {error}.");
             }
         }
     }
-    for stored in &mut runs {
+    for stored in &mut runs.jobs {
         stored.rows.sort_by_key(|row| row.number);
     }
     match is_own {
@@ -166,7 +180,7 @@
 fn install_owner<S: StorePort, O, R: RecordReader>(
     context: &HostContext<S, O, R>,
     term: u64,
-    runs: &[StoredRuns],
+    runs: &StoredRows,
     reports: &[StreamRecord],
 ) -> Result<(), Report> {
     let config = context
@@ -179,10 +193,12 @@
             owner.on_report(report);
         }
     }
+    owner.restore_speeds(&runs.speeds);
     for job in &context.jobs_view.borrow().jobs {
         let Some(record) = &job.record else { continue };
-        let stored = runs.binary_search_by(|run| run.job.cmp(&job.id)).ok();
-        let stored = stored.map_or(&[][..], |index| runs[index].rows.as_slice());
+        let rows = &runs.jobs;
+        let stored = rows.binary_search_by(|run| run.job.cmp(&job.id)).ok();
+        let stored = stored.map_or(&[][..], |index| rows[index].rows.as_slice());
         // A job that is over is kept while any of its runs may still be active.
         if !job.phase.is_over() || !stored.is_empty() {
             owner.add_job(&job.id, Rc::clone(record), job.phase, stored);
--- a/src/work/placing/mod.rs
+++ b/src/work/placing/mod.rs
@@ -5,3 +5,4 @@
 pub mod placement;
 pub mod remaining;
 pub mod slowdown;
+pub mod speed;
--- a/src/work/placing/placement.rs
+++ b/src/work/placing/placement.rs
@@ -154,8 +154,8 @@
         self.pack(|_| true)
     }
 
-    /// Packs the unit into the fitting rack with the least free capacity, so that emptier racks
-    /// remain for other gangs.
+    /// Packs the unit into the fitting rack whose upstreams suit it best in speed, of those into the
+    /// one with the least free capacity, so that emptier racks remain for other gangs.
     fn pack_one_rack(&self) -> Option<Vec<usize>> {
         let wanted = self.demand.count as u64;
         let slots = |upstream: &CandidateUpstream| match self.is_feasible(upstream) {
@@ -164,10 +164,21 @@
         };
         let mut fitting = slots_by_rack(self.candidates, slots);
         fitting.retain(|rack| rack.slots >= wanted);
-        fitting.sort_by_key(|rack| rack.slots);
-        fitting
-            .into_iter()
-            .find_map(|rack| self.pack(|upstream| upstream.rack.as_ref() == Some(rack.rack)))
+        let packed = fitting.into_iter().filter_map(|rack| {
+            let chosen = self.pack(|upstream| upstream.rack.as_ref() == Some(rack.rack))?;
+            Some((self.speed_penalty(&chosen), rack.slots, chosen))
+        });
+        let best = packed.min_by_key(|(penalty, slots, _)| (*penalty, *slots));
+        best.map(|(_, _, chosen)| chosen)
+    }
+
+    /// Returns the sum of the members' penalties for the speed of their upstreams.
+    fn speed_penalty(&self, chosen: &[usize]) -> u64 {
+        let penalty = |&index: &usize| {
+            let slowdown = self.candidates[index].slowdown;
+            slowdown.penalty(self.demand.speed)
+        };
+        chosen.iter().map(penalty).sum()
     }
 
     fn pack(&self, allowed: impl Fn(&CandidateUpstream) -> bool) -> Option<Vec<usize>> {
--- a/tests/work_decisions.rs
+++ b/tests/work_decisions.rs
@@ -12,7 +12,7 @@
 use hemlockramp::work::placing::placement::{
     CandidateUpstream, CapacityClaim, UnitDemand, claim_rank, place_unit,
 };
-use hemlockramp::work::placing::slowdown::{SpeedPreference, TaskProgress, UpstreamSlowdown};
+use hemlockramp::work::placing::slowdown::UpstreamSlowdown;
 use hemlockramp::work::state::election::{ElectionTimer, next_term, should_step_down};
 use hemlockramp::work::state::jobs_view::{HostRow, OwnerRow};
 use hemlockramp::work::store::health::StoreHealth;
@@ -331,43 +331,6 @@
     assert!(order.is_sorted_by_key(order_key), "{order:#?}");
 }
 
-/// Load: one upstream takes 1.3 times as long as the others, one ten times.
-#[test]
-fn upstream_slowdown_is_estimated_from_sibling_tasks() {
-    let mut slowdowns = [UpstreamSlowdown::default(); 6];
-    let slower = [1.0, 1.0, 1.3, 1.0, 1.0, 10.0];
-    for round in 1..12_u64 {
-        let elapsed_ms = 1_000 * round;
-        let siblings: Vec<TaskProgress> = slower
-            .iter()
-            .map(|factor| TaskProgress {
-                percent: (elapsed_ms as f64 / 100.0 / factor) as u32,
-                elapsed_ms,
-            })
-            .collect();
-        for (slowdown, task) in slowdowns.iter_mut().zip(&siblings) {
-            slowdown.add_sample(*task, &siblings);
-        }
-    }
-    let penalty = |index: usize, preference| slowdowns[index].penalty(preference);
-    assert!(penalty(0, SpeedPreference::Fast) < penalty(2, SpeedPreference::Fast));
-    assert!(penalty(2, SpeedPreference::Slow) < penalty(0, SpeedPreference::Slow));
-    assert_eq!(
-        penalty(0, SpeedPreference::Any),
-        penalty(2, SpeedPreference::Any)
-    );
-    for preference in [
-        SpeedPreference::Fast,
-        SpeedPreference::Any,
-        SpeedPreference::Slow,
-    ] {
-        assert!(
-            (0..5).all(|index| penalty(index, preference) < penalty(5, preference)),
-            "{preference:?}"
-        );
-    }
-}
-
 fn owner(host: &str, released: bool) -> OwnerRow {
     OwnerRow {
         record: OwnerRecord {
