--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -12,7 +12,6 @@
 use crate::work::owner::failure_ledger::EXCLUSION_SCORE;
 use crate::work::owner::start_gate::{StartConditions, StartStage, StartVerdict, start_verdict};
 use crate::work::placing::placement::CapacityClaim;
-use crate::work::placing::slowdown::UpstreamSlowdown;
 
 /// Time after a lease's end by which its tasks have certainly stopped, in ms.
 pub(super) const LEASE_EXPIRY_MARGIN_MS: u64 = 250;
@@ -90,9 +89,7 @@
     pub failure_score: f64,
     /// Used only if the others do not suffice before this time, since runs have failed there, steady ms.
     pub excluded_until_ms: u64,
-    /// Estimated slowdown against other upstreams.
-    pub slowdown: UpstreamSlowdown,
-    /// Earliest time of the next slowdown sample, steady ms.
+    /// Earliest time of the next look at the progress of its runs, steady ms.
     pub next_sample_ms: u64,
     /// No new work before this time, steady ms.
     pub quarantined_until_ms: u64,
@@ -131,7 +128,6 @@
             gave_up_runs: false,
             failure_score: 0.0,
             excluded_until_ms: 0,
-            slowdown: UpstreamSlowdown::default(),
             next_sample_ms: 0,
             quarantined_until_ms: 0,
             reserved: None,
