Remove jobs that are over from hosts and the store

Cause: nothing removed the rows of a job that was over, in the stream of jobs or in the hosts' views of it.

A listing drops what it no longer contains.

--- a/src/work/calls/job_service.rs
+++ b/src/work/calls/job_service.rs
@@ -18,6 +18,7 @@
 use crate::work::model::stream::{KeyedValue, StoreFailure};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 use crate::work::state::context::HostContext;
+use crate::work::state::jobs_view::JobEntry;
 
 /// The module's former path, kept as the log target because operators filter by it.
 const LOG_TARGET: &str = "hemlockramp::work::desk";
@@ -82,7 +83,7 @@
     ) -> Result<(), CallRefusal> {
         let known = |id: &ObjectName| {
             let jobs_view = self.context.jobs_view.borrow();
-            jobs_view.job(id).is_some_and(|job| job.record.is_some())
+            jobs_view.job(id).is_some_and(JobEntry::is_accepted)
         };
         if known(id) {
             return Ok(());
@@ -174,8 +175,7 @@
     fn known_phase(&self, id: &ObjectName) -> Option<JobPhase> {
         let jobs_view = self.context.jobs_view.borrow();
         let job = jobs_view.job(id)?;
-        job.record.as_ref()?;
-        Some(job.shown_phase())
+        job.is_accepted().then(|| job.shown_phase())
     }
 
     async fn refresh_jobs(&self) -> Result<(), CallRefusal> {
--- a/src/work/host.rs
+++ b/src/work/host.rs
@@ -181,11 +181,16 @@
 }
 
 impl<S: StorePort, O: OrderPort, R: RecordReader> StreamSink for JobSink<S, O, R> {
+    fn begin_listing(&mut self) {
+        self.context.jobs_view.borrow_mut().begin_listing();
+    }
+
     fn apply(&mut self, records: &[StreamRecord]) {
         self.context.apply_jobs(records);
     }
 
     fn end_listing(&mut self) {
+        self.context.jobs_view.borrow_mut().end_listing();
         if !self.context.jobs_listed.replace(true) {
             log::info!(
                 jobs = self.context.jobs_view.borrow().jobs.len();
--- a/src/work/model/record.rs
+++ b/src/work/model/record.rs
@@ -182,6 +182,43 @@
     }
 }
 
+/// A kind of stored row of a job in the jobs stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobRowKind {
+    /// The accepted job.
+    Job,
+    /// Its cancellation.
+    Cancel,
+    /// Its newest phase.
+    Phase,
+}
+
+impl JobRowKind {
+    fn prefix(self) -> &'static str {
+        match self {
+            Self::Job => "job",
+            Self::Cancel => "cancel",
+            Self::Phase => "phase",
+        }
+    }
+}
+
+/// Returns the record that removes a row of a job from the jobs stream.
+pub fn removed_row(kind: JobRowKind, job: &ObjectName) -> KeyedValue {
+    KeyedValue {
+        key: format!("{}:{job}", kind.prefix()),
+        value: Vec::new(),
+    }
+}
+
+/// Returns which row of which job a record with this key removes; none if it is not a job's.
+pub fn parse_removed_row(key: &str) -> Option<(JobRowKind, ObjectName)> {
+    let (prefix, job) = key.split_once(':')?;
+    let kinds = [JobRowKind::Job, JobRowKind::Cancel, JobRowKind::Phase];
+    let kind = kinds.into_iter().find(|kind| kind.prefix() == prefix)?;
+    Some((kind, ObjectName::try_from(job).ok()?))
+}
+
 impl WorkRecord {
     /// Returns the version of the configuration that the record gives effect to; 0 if none is
     /// known.
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -80,8 +80,10 @@
     phases: Vec<(ObjectName, JobPhase)>,
     /// Keys of the stored rows of finished jobs.
     finished: Vec<String>,
-    /// Jobs that ended in this term, sorted by id.
+    /// Jobs that ended in this term and are still in the stream of jobs, sorted by id.
     ended: Vec<ObjectName>,
+    /// Those of them that are not yet in a batch.
+    newly_ended: Vec<ObjectName>,
     final_rows: Vec<KeyedValue>,
     rows_to_drop: Vec<String>,
     now: HostTime,
@@ -114,6 +116,7 @@
             phases: Vec::new(),
             finished: Vec::new(),
             ended: Vec::new(),
+            newly_ended: Vec::new(),
             final_rows: Vec::new(),
             rows_to_drop: Vec::new(),
             now,
--- a/src/work/owner/recording.rs
+++ b/src/work/owner/recording.rs
@@ -1,5 +1,6 @@
 //! Batches of rows to record, and what may be done once they are stored.
 
+use crate::tables::name::ObjectName;
 use crate::work::model::record::{JobPhase, WorkRecord, job_of_row};
 use crate::work::model::stream::KeyedValue;
 use crate::work::owner::PoolOwner;
@@ -16,6 +17,8 @@
     pub jobs: Vec<KeyedValue>,
     /// Keys of finished jobs' rows of runs, which may be dropped once `jobs` is in the store.
     pub finished: Vec<String>,
+    /// Finished jobs, whose own rows may be removed once `jobs` is in the store.
+    pub ended: Vec<ObjectName>,
 }
 
 impl PoolOwner {
@@ -35,6 +38,7 @@
             if let Err(index) = self.ended.binary_search(&job.id) {
                 self.ended.insert(index, job.id.clone());
             }
+            self.newly_ended.push(job.id.clone());
         }
         self.jobs.retain(|job| !finished(job));
     }
@@ -59,6 +63,7 @@
                 .push(KeyedValue::from(&WorkRecord::Phase(job, phase)));
         }
         batch.finished.append(&mut self.finished);
+        batch.ended.append(&mut self.newly_ended);
         let has_dependents = self
             .pending_starts
             .iter()
@@ -67,7 +72,10 @@
                 .upstreams
                 .iter()
                 .any(|upstream| upstream.end_batch == Some(self.batch));
-        let empty = batch.runs.is_empty() && batch.jobs.is_empty() && batch.finished.is_empty();
+        let empty = batch.runs.is_empty()
+            && batch.jobs.is_empty()
+            && batch.finished.is_empty()
+            && batch.ended.is_empty();
         if empty && !has_dependents {
             return None;
         }
@@ -104,6 +112,25 @@
         }
     }
 
+    /// Forgets jobs that are removed from the stream of jobs: their ids may be handed in again.
+    pub fn forget_ended(&mut self, ids: &[ObjectName]) {
+        for id in ids {
+            if let Ok(index) = self.ended.binary_search(id) {
+                self.ended.remove(index);
+            }
+        }
+    }
+
+    /// Returns whether a job is unfinished or still holds upstreams.
+    pub fn holds(&self, id: &ObjectName) -> bool {
+        self.job_index(id).is_some()
+    }
+
+    /// Returns the number of jobs that ended in this term and are not yet removed.
+    pub fn ended_count(&self) -> usize {
+        self.ended.len()
+    }
+
     /// Schedules rows of finished jobs for deletion, once the final phases are in the store.
     pub fn drop_rows(&mut self, finished: Vec<String>) {
         self.rows_to_drop.extend(finished);
--- a/src/work/owner_loop/claim.rs
+++ b/src/work/owner_loop/claim.rs
@@ -6,7 +6,7 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::clock::{host_time, steady_ms};
-use crate::work::model::record::{OwnerRecord, RunRow, WorkRecord, decode_run_row};
+use crate::work::model::record::{OwnerRecord, RunRow, WorkRecord, decode_run_row, run_row_key};
 use crate::work::model::stream::{
     KeyedValue, StoreCall, StoreFailure, StreamName, StreamRecord, WriterStamp,
 };
@@ -15,6 +15,7 @@
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 use crate::work::state::context::HostContext;
 use crate::work::state::election::next_term;
+use crate::work::state::jobs_view::JobsView;
 use crate::work::store::follow::list_newest;
 
 /// Writer name shared by all owners; a later epoch of it fences earlier ones.
@@ -163,6 +164,22 @@
     }
 }
 
+/// Returns the keys of the stored rows of jobs that have been removed since. The owner before died
+/// between the two removals.
+fn orphaned_rows(jobs_view: &JobsView, runs: &[StoredRuns]) -> Vec<String> {
+    let is_removed = |stored: &&StoredRuns| {
+        let job = jobs_view.job(&stored.job);
+        job.is_none_or(|job| job.record.is_none())
+    };
+    let removed = runs.iter().filter(is_removed);
+    let keys = |stored: &StoredRuns| -> Vec<String> {
+        let rows = stored.rows.iter();
+        rows.map(|row| run_row_key(&stored.job, row.number))
+            .collect()
+    };
+    removed.flat_map(keys).collect()
+}
+
 fn install_owner<S: StorePort, O, R: RecordReader>(
     context: &HostContext<S, O, R>,
     term: u64,
@@ -179,6 +196,7 @@
             owner.on_report(report);
         }
     }
+    owner.drop_rows(orphaned_rows(&context.jobs_view.borrow(), runs));
     for job in &context.jobs_view.borrow().jobs {
         let Some(record) = &job.record else { continue };
         let stored = runs.binary_search_by(|run| run.job.cmp(&job.id)).ok();
--- a/src/work/owner_loop/mod.rs
+++ b/src/work/owner_loop/mod.rs
@@ -21,7 +21,7 @@
 use tokio::sync::Notify;
 
 use crate::work::clock::{host_time, steady_ms};
-use crate::work::model::record::WorkRecord;
+use crate::work::model::record::{JobRowKind, WorkRecord, removed_row};
 use crate::work::model::stream::{KeyedValue, StoreFailure, StreamName, StreamRecord};
 use crate::work::owner::{PoolOwner, RowBatch};
 use crate::work::owner_loop::claim::{claim, owner_record};
@@ -45,6 +45,8 @@
 const HEARTBEAT_INTERVAL_MS: u64 = 450;
 /// Delay after a failed claim of the pool.
 const CLAIM_RETRY_MS: u64 = 150;
+/// Interval at which the owner removes old jobs, in ms.
+const REMOVAL_INTERVAL_MS: u64 = 1_000;
 /// Why a term ends that the store no longer confirms.
 const UNCONFIRMED: &str = "no append was confirmed within the ownership timeout";
 
@@ -97,6 +99,8 @@
     jobs: Rc<OwnerWriter>,
     job_rows: Rc<RefCell<JobRows>>,
     job_wake: Rc<Notify>,
+    /// When old jobs are removed next, steady ms.
+    next_removal_ms: Rc<Cell<u64>>,
 }
 
 impl<S, O, R> Clone for OwnerLoop<S, O, R> {
@@ -112,6 +116,7 @@
             jobs: Rc::clone(&self.jobs),
             job_rows: Rc::clone(&self.job_rows),
             job_wake: Rc::clone(&self.job_wake),
+            next_removal_ms: Rc::clone(&self.next_removal_ms),
         }
     }
 }
@@ -139,6 +144,7 @@
             jobs: writer(StreamName::Jobs),
             job_rows: Rc::default(),
             job_wake: Rc::default(),
+            next_removal_ms: Rc::default(),
         }
     }
 
@@ -207,6 +213,7 @@
             return;
         };
         self.send_orders(orders);
+        self.remove_old_jobs(now.steady_ms);
         if superseded {
             self.end("an upstream has accepted a higher fencing token");
             return;
@@ -214,6 +221,31 @@
         self.record();
     }
 
+    /// Removes the jobs that callers have had time to ask for, at intervals.
+    fn remove_old_jobs(&self, now_ms: u64) {
+        if now_ms < self.next_removal_ms.get() {
+            return;
+        }
+        self.next_removal_ms.set(now_ms + REMOVAL_INTERVAL_MS);
+        let retention_ms = self.context.identity.retention_ms;
+        let removals = self.with_owner(|owner| {
+            let mut jobs_view = self.context.jobs_view.borrow_mut();
+            jobs_view.set_time(now_ms);
+            let (rows, ids) = jobs_view.take_removals(retention_ms, |id| owner.holds(id));
+            owner.forget_ended(&ids);
+            (rows, ids.len())
+        });
+        let Some((rows, count)) = removals.filter(|(rows, _)| !rows.is_empty()) else {
+            return;
+        };
+        log::debug!(jobs = count, rows = rows.len(); "owner: jobs that ended long ago are removed.");
+        metrics::counter!("hemlockramp_jobs_removed_total").increment(count as u64);
+        self.queue_jobs(JobRows {
+            rows,
+            ..JobRows::default()
+        });
+    }
+
     fn should_step_down(&self) -> bool {
         let hosts = &self.context.jobs_view.borrow().hosts;
         should_step_down(self.context.identity.large, hosts, self.start_offset)
@@ -240,7 +272,7 @@
         let record = owner_record(&self.context, self.term, true);
         self.queue_jobs(JobRows {
             rows: vec![KeyedValue::from(&WorkRecord::Owner(record))],
-            finished: Vec::new(),
+            ..JobRows::default()
         });
         self.end(reason);
     }
@@ -249,6 +281,7 @@
         let mut queue = self.job_rows.borrow_mut();
         queue.rows.extend(more.rows);
         queue.finished.extend(more.finished);
+        queue.ended.extend(more.ended);
         if !queue.is_empty() {
             self.job_wake.notify_one();
         }
@@ -291,6 +324,7 @@
         self.queue_jobs(JobRows {
             rows: batch.jobs,
             finished: batch.finished,
+            ended: batch.ended,
         });
         self.context.owner_wake.notify_one();
     }
@@ -299,6 +333,8 @@
     /// term has ended and the queue is empty.
     async fn write_jobs(self) {
         self.context.group_commit.open(self.term);
+        // They go out with the next append, which they do not hasten.
+        let mut removals = Vec::new();
         loop {
             let mut queued = std::mem::take(&mut *self.job_rows.borrow_mut());
             let pending = self.context.group_commit.take(self.term);
@@ -319,9 +355,12 @@
                     .rows
                     .push(KeyedValue::from(&WorkRecord::Owner(record)));
             }
+            queued.rows.append(&mut removals);
             if !self.append_jobs(queued.rows, pending).await {
                 break;
             }
+            let ended = queued.ended.iter();
+            removals.extend(ended.map(|id| removed_row(JobRowKind::Job, id)));
             let _ = self.with_owner(|owner| owner.drop_rows(queued.finished));
         }
         self.context.group_commit.close(self.term);
--- a/src/work/state/context.rs
+++ b/src/work/state/context.rs
@@ -39,6 +39,8 @@
     pub timing: OwnerTiming,
     /// Sizes that the store accepts.
     pub limits: StoreLimits,
+    /// Time for which the state of a job that is over is kept, in ms.
+    pub retention_ms: u64,
 }
 
 /// State that all tasks of one host share.
@@ -161,6 +163,7 @@
     /// Applies records of the jobs stream to this host's view of it, the owner's state, the
     /// failure detector and the set of peers.
     pub fn apply_jobs(&self, records: &[StreamRecord]) {
+        self.jobs_view.borrow_mut().set_time(steady_ms());
         for record in records {
             let change = self.jobs_view.borrow_mut().apply(record);
             match change {
@@ -172,6 +175,7 @@
                 ViewChange::Other => {}
             }
         }
+        self.jobs_view.borrow_mut().forget_removed();
         let version = self.jobs_view.borrow().config_version;
         if self.active_config.learn_version(version, steady_ms()) {
             self.config_wake.notify_one();
--- a/src/work/state/jobs_view.rs
+++ b/src/work/state/jobs_view.rs
@@ -3,25 +3,107 @@
 use std::rc::Rc;
 
 use crate::tables::name::ObjectName;
-use crate::work::model::record::{HostRecord, JobPhase, JobRecord, OwnerRecord, WorkRecord};
-use crate::work::model::stream::StreamRecord;
+use crate::work::model::record::{
+    HostRecord, JobPhase, JobRecord, JobRowKind, OwnerRecord, WorkRecord, parse_removed_row,
+    removed_row,
+};
+use crate::work::model::stream::{KeyedValue, StreamRecord};
 
 /// The module's former path, kept as the log target because operators filter by it.
 const LOG_TARGET: &str = "hemlockramp::work::fact_table";
 
+/// Time after which the removal of a job is asked for again if it has not come about, in ms.
+const REMOVAL_RETRY_MS: u64 = 30_000;
+/// Most jobs that are removed at once, which bounds the size of an append.
+const REMOVALS_MAX: usize = 500;
+
+/// Time after which a job that is over has no need of the record of its acceptance, in ms.
+const RECORD_RETENTION_MS: u64 = 5_000;
+
+/// Rows of a job that are to be removed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DueRemoval {
+    /// The accepted job; its phase is still told.
+    Record,
+    /// All of them.
+    Job,
+}
+
 /// A job with its state from all its records.
 #[derive(Clone, Debug)]
 pub struct JobEntry {
     pub id: ObjectName,
-    /// The accepted job; none while only its other records have been read.
+    /// The accepted job; none while only its other records have been read, and once it is over and
+    /// holds no upstream.
     pub record: Option<Rc<JobRecord>>,
     /// Whether a caller has cancelled the job.
     pub cancelled: bool,
     /// The newest phase that the owner has recorded.
     pub phase: JobPhase,
+    /// Since when nothing can happen to the job any more, steady ms.
+    settled_ms: Option<u64>,
+    /// When its removal was asked for last, steady ms.
+    removal_ms: Option<u64>,
+    /// Whether it has been removed from the stream.
+    removed: bool,
+    /// The listing that read one of its records last.
+    listing: u64,
 }
 
 impl JobEntry {
+    fn new(id: &ObjectName) -> Self {
+        Self {
+            id: id.clone(),
+            record: None,
+            cancelled: false,
+            phase: JobPhase::Queued,
+            settled_ms: None,
+            removal_ms: None,
+            removed: false,
+            listing: 0,
+        }
+    }
+
+    /// Returns whether a job with this id is known to have been accepted.
+    pub fn is_accepted(&self) -> bool {
+        self.record.is_some() || self.phase.is_over()
+    }
+
+    /// Returns whether nothing can happen to the job any more. A cancellation may come before its job.
+    fn is_settled(&self) -> bool {
+        self.phase.is_over() || (self.cancelled && self.record.is_none())
+    }
+
+    /// Returns which of its rows are to be removed now. The accepted job comes first: without its phase it
+    /// would count as unfinished. The owner removes that row at once, but may die before, and a slow host
+    /// may store it again.
+    fn due_removal(&self, now_ms: u64, retention_ms: u64) -> Option<DueRemoval> {
+        let settled_ms = now_ms.saturating_sub(self.settled_ms?);
+        let asked = |at_ms: u64| now_ms.saturating_sub(at_ms) < REMOVAL_RETRY_MS;
+        if self.removal_ms.is_some_and(asked) {
+            return None;
+        }
+        if settled_ms >= retention_ms {
+            return Some(DueRemoval::Job);
+        }
+        let outdated = self.record.is_some() && settled_ms >= RECORD_RETENTION_MS;
+        outdated.then_some(DueRemoval::Record)
+    }
+
+    /// Returns the records that remove these of its rows.
+    fn removal(&self, due: DueRemoval) -> Vec<KeyedValue> {
+        let whole = due == DueRemoval::Job;
+        let present = [
+            (JobRowKind::Job, self.record.is_some()),
+            (JobRowKind::Cancel, whole && self.cancelled),
+            (JobRowKind::Phase, whole),
+        ];
+        let present = present.into_iter().filter(|(_, present)| *present);
+        present
+            .map(|(kind, _)| removed_row(kind, &self.id))
+            .collect()
+    }
+
     /// Returns the phase that callers see: a cancelled job counts as such before the owner has
     /// recorded it.
     pub fn shown_phase(&self) -> JobPhase {
@@ -62,6 +144,9 @@
 
 /// State of the jobs stream, built from the newest record of each key. The first record of an
 /// accepted job counts, and a final phase is never replaced.
+///
+/// The owner removes a job's own row once the job is over and holds no upstream, and its phase once
+/// callers have had time to read it. An id that is handed in again after that is a new job.
 #[derive(Clone, Debug, Default)]
 pub struct JobsView {
     /// Jobs, sorted by id.
@@ -72,18 +157,76 @@
     pub owner: Option<OwnerRow>,
     /// Newest version of the configuration that admitted a caller on any host.
     pub config_version: u64,
+    /// Time of the records that are applied next, steady ms.
+    now_ms: u64,
+    /// Number of the newest listing; 0 before the first.
+    listing: u64,
+    /// Whether some jobs are removed and not yet forgotten.
+    any_removed: bool,
 }
 
 impl JobsView {
+    /// Sets the time at which the following records are applied, steady ms.
+    pub fn set_time(&mut self, now_ms: u64) {
+        self.now_ms = now_ms;
+    }
+
+    /// Begins a listing of the stream.
+    pub fn begin_listing(&mut self) {
+        self.listing += 1;
+    }
+
+    /// Ends a listing. Jobs of which it had no record have been removed from the stream meanwhile.
+    pub fn end_listing(&mut self) {
+        let listing = self.listing;
+        self.jobs.retain(|job| job.listing == listing);
+    }
+
+    /// Forgets the jobs that have been removed from the stream. Call after applying records.
+    pub fn forget_removed(&mut self) {
+        if std::mem::take(&mut self.any_removed) {
+            self.jobs.retain(|job| !job.removed);
+        }
+    }
+
+    /// Returns the records that remove what is no longer needed of jobs that are over and not `held`, and
+    /// the ids of those that have been over for `retention_ms` and go altogether. The records have to be
+    /// appended in this order.
+    pub fn take_removals(
+        &mut self,
+        retention_ms: u64,
+        held: impl Fn(&ObjectName) -> bool,
+    ) -> (Vec<KeyedValue>, Vec<ObjectName>) {
+        let (mut rows, mut ids) = (Vec::new(), Vec::new());
+        let now_ms = self.now_ms;
+        let mut left = REMOVALS_MAX;
+        for job in &mut self.jobs {
+            let Some(due) = job.due_removal(now_ms, retention_ms) else {
+                continue;
+            };
+            if left == 0 || held(&job.id) {
+                continue;
+            }
+            left -= 1;
+            job.removal_ms = Some(now_ms);
+            rows.extend(job.removal(due));
+            if due == DueRemoval::Job {
+                ids.push(job.id.clone());
+            }
+        }
+        (rows, ids)
+    }
+
     /// Returns the job with this id, if any of its records has been read.
     pub fn job(&self, id: &ObjectName) -> Option<&JobEntry> {
         let index = self.jobs.binary_search_by(|job| job.id.cmp(id)).ok()?;
-        Some(&self.jobs[index])
+        Some(&self.jobs[index]).filter(|job| !job.removed)
     }
 
     /// Applies a record. Records that cannot be decoded are logged and skipped.
     pub fn apply(&mut self, stored: &StreamRecord) -> ViewChange {
         if stored.entry.value.is_empty() {
+            self.apply_removal(&stored.entry.key);
             return ViewChange::Other;
         }
         match WorkRecord::try_from(&stored.entry) {
@@ -98,6 +241,24 @@
         }
     }
 
+    fn apply_removal(&mut self, key: &str) {
+        let Some((kind, id)) = parse_removed_row(key) else {
+            return;
+        };
+        let Ok(index) = self.jobs.binary_search_by(|job| job.id.cmp(&id)) else {
+            return;
+        };
+        let job = &mut self.jobs[index];
+        match kind {
+            JobRowKind::Job => job.record = None,
+            JobRowKind::Cancel => {}
+            JobRowKind::Phase => {
+                job.removed = true;
+                self.any_removed = true;
+            }
+        }
+    }
+
     fn apply_record(&mut self, offset: u64, record: WorkRecord) -> ViewChange {
         self.config_version = self.config_version.max(record.config_version());
         match record {
@@ -105,10 +266,12 @@
                 let job = self.job_mut(&id);
                 // A job may be submitted more than once; its first record counts.
                 job.record.get_or_insert_with(|| Rc::from(record));
+                self.note_settled(&id);
                 ViewChange::Job(id)
             }
             WorkRecord::Cancel(id, _) => {
                 self.job_mut(&id).cancelled = true;
+                self.note_settled(&id);
                 ViewChange::Job(id)
             }
             WorkRecord::Phase(id, phase) => {
@@ -116,6 +279,7 @@
                 if !job.phase.is_over() {
                     job.phase = phase;
                 }
+                self.note_settled(&id);
                 // Only an owner writes phases.
                 ViewChange::Owner
             }
@@ -141,17 +305,27 @@
         let index = match self.jobs.binary_search_by(|job| job.id.cmp(id)) {
             Ok(index) => index,
             Err(index) => {
-                let entry = JobEntry {
-                    id: id.clone(),
-                    record: None,
-                    cancelled: false,
-                    phase: JobPhase::Queued,
-                };
+                let entry = JobEntry::new(id);
                 self.jobs.insert(index, entry);
                 index
             }
         };
-        &mut self.jobs[index]
+        let job = &mut self.jobs[index];
+        // An id that is handed in again after its removal is a new job.
+        if job.removed {
+            *job = JobEntry::new(id);
+        }
+        job.listing = self.listing;
+        job
+    }
+
+    fn note_settled(&mut self, id: &ObjectName) {
+        let now_ms = self.now_ms;
+        let job = self.job_mut(id);
+        match job.is_settled() {
+            true => _ = job.settled_ms.get_or_insert(now_ms),
+            false => job.settled_ms = None,
+        }
     }
 
     fn put_host(&mut self, row: HostRow) {
--- a/tests/paused_owner.rs
+++ b/tests/paused_owner.rs
@@ -97,6 +97,7 @@
             record_bytes: 262_144,
             request_bytes: 2_097_152,
         },
+        retention_ms: 180_000,
     }
 }
 
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -1123,7 +1123,7 @@
     }
 }
 
-fn config() -> WorkConfig {
+pub fn config() -> WorkConfig {
     let route = |queue: &str, priority: u32| RouteRow {
         queue: name(queue),
         host: "host".into(),
