--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -1143,7 +1143,7 @@
     }
 }
 
-fn config() -> WorkConfig {
+pub fn config() -> WorkConfig {
     let route = |queue: &str, priority: u32| RouteRow {
         queue: name(queue),
         host: "host".into(),
