--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -213,6 +213,10 @@
     /// Jobs whose tasks crash the upstreams that run them.
     pub crashing_jobs: Vec<ObjectName>,
     pub crash_course: CrashCourse,
+    /// Jobs whose runs all end as failed.
+    pub hopeless_jobs: Vec<ObjectName>,
+    /// Upstreams, by index, on which all runs end as failed.
+    pub broken_upstreams: Vec<usize>,
     /// Drops job phases instead of storing them while set.
     pub drop_phase_updates: bool,
     /// Whether a change of owner leaves the first rows of a batch in flight in the store.
@@ -284,6 +288,8 @@
                 back_after_ms: 0,
                 renamed: false,
             },
+            hopeless_jobs: Vec::new(),
+            broken_upstreams: Vec::new(),
             drop_phase_updates: false,
             stores_first_rows: false,
             term: 0,
@@ -462,6 +468,13 @@
         history.map_or(0, |history| history.starts)
     }
 
+    /// Returns the running tasks of each upstream.
+    pub fn running_tasks(&self) -> Vec<Vec<TaskRef>> {
+        let runs = self.upstreams.iter().map(|upstream| upstream.runs.iter());
+        runs.map(|runs| runs.map(|run| run.order.task.clone()).collect())
+            .collect()
+    }
+
     /// Returns the rack that a task runs in.
     pub fn rack_of(&self, task: &str) -> Option<ObjectName> {
         let upstream = self.running(task)?;
@@ -956,7 +969,10 @@
                 let kind = match run.stopping_ms {
                     _ if lapsed => Some(EndKind::Lapsed),
                     Some(0) => Some(EndKind::Stopped),
-                    _ if run.left_ms == 0 => Some(EndKind::Done),
+                    _ if run.left_ms == 0 => match self.fails(index, &run) {
+                        true => Some(EndKind::Failed),
+                        false => Some(EndKind::Done),
+                    },
                     _ => None,
                 };
                 match kind {
@@ -967,6 +983,10 @@
         }
     }
 
+    fn fails(&self, index: usize, run: &SimRun) -> bool {
+        self.broken_upstreams.contains(&index) || self.hopeless_jobs.contains(&run.order.task.job)
+    }
+
     fn end(&mut self, index: usize, run: &SimRun, kind: EndKind) {
         self.add_trace(format!(
             "{} run {} ends {kind:?} on {index}",
