Weigh what callers lose when there is too little room

On a full pool urgent work outside the guarantees, and work close to its objective, displaced whatever stood in the way: wide gangs that were almost done, and work that would have ended sooner than its stop took. Teams with many jobs went before small teams of the same urgency.

One cost model (work/load/delay_cost.rs) now says what a delay or a displacement costs: work to be repeated, and the worth that a delay takes from a result, by priority, time objective and size. Victims are chosen by it. What is not inside a guarantee displaces only if waiting for runs that end by themselves costs more; it then reserves the room that these leave. Among equally urgent and late work, teams within their share of the pool go first.

The simulated pool now reports the progress of its runs; it said 50 % always.

--- a/src/work/load/queue_order.rs
+++ b/src/work/load/queue_order.rs
@@ -3,7 +3,10 @@
 //! When more work waits than fits, urgent queues go first. Among the rest, units that can still
 //! meet their time objective go before those that cannot, and short jobs before long ones, since
 //! the same capacity then meets more objectives. Expired units, whose results are assumed to be no
-//! longer awaited, go last.
+//! longer awaited, go last. Among units that are equally urgent and late, those of teams within
+//! their share of the pool go first.
+
+use crate::work::load::fair_share::ShareLevel;
 
 /// Lower bound of a job's size in comparisons, in core-seconds; smaller jobs compare as equal.
 const MIN_CORE_SECONDS: u64 = 1;
@@ -26,6 +29,8 @@
     pub work: u64,
     /// Whether any task of its job has started.
     pub job_started: bool,
+    /// How much of the pool its team holds against its share.
+    pub share: ShareLevel,
 }
 
 /// Sort key of a waiting unit; the smallest is placed first.
@@ -35,6 +40,7 @@
     priority: u32,
     borrowed: bool,
     late: bool,
+    share: ShareLevel,
     size: u32,
     slack_ms: i64,
 }
@@ -48,6 +54,7 @@
         priority: unit.priority,
         borrowed: !unit.guaranteed,
         late: unit.slack_ms < 0,
+        share: unit.share,
         // A started job is closer to completion, so it counts as half its size.
         size: doublings.saturating_sub(u32::from(unit.job_started)),
         slack_ms: unit.slack_ms,
--- a/src/work/load/victims.rs
+++ b/src/work/load/victims.rs
@@ -9,7 +9,7 @@
 use crate::tables::name::ObjectName;
 use crate::work::model::amount::ResourceAmount;
 use crate::work::placing::placement::{
-    CandidateUpstream, CapacityClaim, UnitDemand, max_task_slots,
+    CandidateUpstream, CapacityClaim, UnitDemand, claim_rank, max_task_slots,
 };
 
 /// A running unit that may be preempted.
@@ -19,7 +19,7 @@
     pub upstreams: Vec<usize>,
     /// Capacity that each of its tasks holds.
     pub need: ResourceAmount,
-    /// Work that would have to be repeated, in millicore-milliseconds.
+    /// What its callers lose, in millicore-milliseconds; see `RunningUnit::displacement_cost`.
     pub lost_work: u64,
     /// Rank of its claim; lower is stronger.
     pub rank: u32,
@@ -120,13 +120,15 @@
     prefixes.min()
 }
 
-/// Returns the victims on each upstream: weakest claims first, then those that lose the least work.
+/// Returns the victims on each upstream, those that lose the least first. Urgent claims, which would
+/// displace others in turn, come last.
 fn victims_by_upstream(upstreams: usize, victims: &[&VictimUnit]) -> Vec<Vec<usize>> {
+    let urgent_rank = claim_rank(0, false);
     let mut sorted = vec![Vec::new(); upstreams];
     let mut order: Vec<usize> = (0..victims.len()).collect();
     order.sort_by_key(|&index| {
         let victim = victims[index];
-        (Reverse(victim.rank), victim.lost_work)
+        (victim.rank <= urgent_rank, victim.lost_work)
     });
     for index in order {
         for &upstream in &victims[index].upstreams {
--- a/src/work/model/spec.rs
+++ b/src/work/model/spec.rs
@@ -102,6 +102,20 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Returns the estimated run time of the longest chain of steps that wait for this one, in ms.
+    pub fn path_after_ms(&self, step: usize) -> u64 {
+        let mut after = vec![0; self.steps.len()];
+        for (index, later) in self.steps.iter().enumerate().rev() {
+            let chain_ms = after[index] + later.estimate_ms;
+            for &before in &later.after {
+                if let Some(slot) = after.get_mut(before as usize) {
+                    *slot = chain_ms.max(*slot);
+                }
+            }
+        }
+        after.get(step).copied().unwrap_or(0)
+    }
+
     /// Returns the number of accelerators that the tasks of the first step need together.
     pub fn first_step_accelerators(&self) -> u64 {
         let whole = |step: &StepSpec| u64::from(step.count) * step.need.accelerators;
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -20,11 +20,13 @@
 pub mod replies;
 mod restore;
 mod row_records;
+mod run_ends;
 pub mod task_rows;
 mod team_usage;
 mod timing;
 pub mod unit_state;
 pub mod upstream_state;
+mod waiting;
 
 pub use recording::RowBatch;
 pub use timing::OwnerTiming;
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -1,15 +1,14 @@
 //! Placement rounds over all waiting units.
 
 use crate::tables::name::ObjectName;
-use crate::work::load::queue_order::{OrderKey, WaitingUnit, order_key};
 use crate::work::model::amount::ResourceAmount;
 use crate::work::model::config::QueueRule;
 use crate::work::owner::PoolOwner;
 use crate::work::owner::placement_pool::PlacementPool;
 use crate::work::owner::preemption::BlockedUnit;
-use crate::work::owner::team_usage::TeamUsage;
 use crate::work::owner::unit_state::{MemberPhase, MemberState, UnitPhase};
 use crate::work::owner::upstream_state::HeldTask;
+use crate::work::owner::waiting::WaitingStep;
 use crate::work::placing::locality_wait::LocalityWait;
 use crate::work::placing::placement::{
     CandidateUpstream, CapacityClaim, Isolation, UnitDemand, claim_rank, fits_in_one_rack,
@@ -19,19 +18,9 @@
 
 /// Guaranteed units for which one round searches capacity separately.
 const GUARANTEED_UNITS_MAX: usize = 6;
-/// Multiple of the time objective after which a job counts as no longer awaited and is placed last.
-const EXPIRY_FACTOR: u64 = 3;
 /// Upstreams with a failed run that a unit avoids; only the newest count.
 const AVOIDED_UPSTREAMS_MAX: usize = 6;
 
-/// Waiting units of one step of a job.
-struct WaitingStep {
-    key: OrderKey,
-    waiting: WaitingUnit,
-    job: usize,
-    units: Vec<usize>,
-}
-
 /// State that is carried through one placement round.
 struct PlacementRound {
     pools: Vec<PlacementPool>,
@@ -73,74 +62,6 @@
         }
     }
 
-    fn waiting_steps(&self, teams: &[TeamUsage]) -> Vec<WaitingStep> {
-        let mut found: Vec<WaitingStep> = Vec::new();
-        for job in 0..self.jobs.len() {
-            let mut ready = self.jobs[job].ready_units(self.now.wall_ms);
-            ready.retain(|&unit| !self.restart_is_paused(job, unit));
-            let same_step = |left: &usize, right: &usize| {
-                let shapes = &self.jobs[job].shapes;
-                (shapes[*left].round, shapes[*left].step)
-                    == (shapes[*right].round, shapes[*right].step)
-            };
-            for units in ready.chunk_by(same_step) {
-                let waiting = self.waiting_unit(job, units[0], teams);
-                found.push(WaitingStep {
-                    key: order_key(&waiting),
-                    waiting,
-                    job,
-                    units: units.to_vec(),
-                });
-            }
-        }
-        found
-    }
-
-    fn waiting_unit(&self, job: usize, unit: usize, teams: &[TeamUsage]) -> WaitingUnit {
-        if self.jobs[job].step(unit).lasting {
-            return self.waiting_lasting_unit(job, unit, teams);
-        }
-        let state = &self.jobs[job];
-        let rule = self.rule(job);
-        let spec = &state.record.spec;
-        let eligible_ms = state
-            .record
-            .accepted_ms
-            .max(spec.due_ms(state.shapes[unit].round));
-        let critical_path_ms = spec.critical_path_ms();
-        let time_objective_ms = rule.time_objective_ms(critical_path_ms);
-        let due_ms = eligible_ms + time_objective_ms.saturating_sub(critical_path_ms);
-        WaitingUnit {
-            priority: rule.priority,
-            guaranteed: rule.priority == 0 && self.is_guaranteed(job, teams),
-            slack_ms: due_ms as i64 - self.now.wall_ms as i64,
-            expired: eligible_ms + EXPIRY_FACTOR * time_objective_ms
-                < self.now.wall_ms + critical_path_ms,
-            work: spec.work(),
-            job_started: state.units.iter().any(|unit| unit.run > 0),
-        }
-    }
-
-    /// Returns the properties of a waiting lasting unit. Its tasks are awaited for as long as their job
-    /// lasts, so that it never counts as late. One that was at work before is missed by its users, and
-    /// comes back before all work but that inside a guarantee.
-    fn waiting_lasting_unit(&self, job: usize, unit: usize, teams: &[TeamUsage]) -> WaitingUnit {
-        let state = &self.jobs[job];
-        let priority = self.rule(job).priority;
-        let was_at_work = state.units[unit].run > 0;
-        WaitingUnit {
-            priority: match was_at_work {
-                true => 0,
-                false => priority,
-            },
-            guaranteed: priority == 0 && self.is_guaranteed(job, teams),
-            slack_ms: 0,
-            expired: false,
-            work: state.record.spec.work(),
-            job_started: was_at_work,
-        }
-    }
-
     fn placement_pool(&self, pool: &ObjectName) -> PlacementPool {
         let now_ms = self.now.steady_ms;
         let mut result = PlacementPool {
@@ -285,6 +206,12 @@
                     waiting: &waiting_step.waiting,
                     demand: &demand,
                     claim,
+                    outlook: self.unit_outlook(
+                        job,
+                        unit,
+                        self.jobs[job].record.spec.critical_path_ms(),
+                    ),
+                    estimate_ms: self.jobs[job].step(unit).estimate_ms,
                 };
                 round.guaranteed += usize::from(own_search);
                 self.log_wait(job, unit, "not enough free capacity", pool);
--- a/src/work/owner/preemption.rs
+++ b/src/work/owner/preemption.rs
@@ -1,7 +1,9 @@
 //! Reservations and preemption for units that do not fit.
 
 use crate::tables::name::ObjectName;
+use crate::work::load::delay_cost::{RunningUnit, UnitOutlook};
 use crate::work::load::queue_order::WaitingUnit;
+use crate::work::load::room_choice::{RoomChoice, RoomOptions};
 use crate::work::load::victims::{VictimUnit, choose_victims};
 use crate::work::owner::PoolOwner;
 use crate::work::owner::placement_pool::PlacementPool;
@@ -16,8 +18,6 @@
 const RESERVED_UNITS_MAX: usize = 4;
 /// Slack below which a non-urgent unit preempts instead of waiting for capacity, in ms.
 const PREEMPTION_SLACK_MS: i64 = 4_000;
-/// Work that a unit with checkpoints is assumed to lose when it is stopped, in ms.
-const CHECKPOINT_LOSS_MS: u64 = 1_000;
 /// Factor from core-seconds to millicore-milliseconds.
 const MILLICORE_MS_PER_CORE_S: u64 = 1_000_000;
 
@@ -26,6 +26,9 @@
     pub(super) waiting: &'a WaitingUnit,
     pub(super) demand: &'a UnitDemand,
     pub(super) claim: CapacityClaim,
+    pub(super) outlook: UnitOutlook,
+    /// Estimated run time of its tasks, in ms.
+    pub(super) estimate_ms: u64,
 }
 
 /// A preemptible unit and where to find it.
@@ -68,42 +71,88 @@
             self.reserve(blocked, pool, &chosen);
             return;
         }
-        let must_preempt = match urgent {
+        let may_preempt = match urgent {
             true => waiting.guaranteed || waiting.slack_ms >= 0,
             false => waiting.slack_ms < PREEMPTION_SLACK_MS,
         };
-        if must_preempt {
-            self.preempt(blocked, pool, &after_stops);
-        } else {
-            let without_weaker = self.upstreams_without_weaker(blocked.claim.rank, pool);
-            if let Some(chosen) = place_unit(blocked.demand, &blocked.claim, &without_weaker) {
-                self.reserve(blocked, pool, &chosen);
-            }
+        if may_preempt && self.preempt_or_wait(blocked, pool, &after_stops) {
+            return;
+        }
+        let without_weaker = self.upstreams_without_weaker(blocked.claim.rank, pool);
+        if let Some(chosen) = place_unit(blocked.demand, &blocked.claim, &without_weaker) {
+            self.reserve(blocked, pool, &chosen);
         }
     }
 
-    /// Preempts units with weaker claims and reserves the capacity that they free.
-    fn preempt(
+    /// Chooses between preemption and the ends of runs in sight, and prepares the one that costs
+    /// callers less. Returns whether it found room.
+    fn preempt_or_wait(
         &mut self,
         blocked: &BlockedUnit,
         pool: &mut PlacementPool,
         after_stops: &[CandidateUpstream],
-    ) {
-        let running = self.running_victims(blocked.claim.rank, pool);
+    ) -> bool {
+        let running = self.running_victims(blocked, pool);
         let victims: Vec<&VictimUnit> = running.iter().map(|one| &one.victim).collect();
         let chosen = choose_victims(blocked.demand, &blocked.claim, after_stops, &victims);
-        for index in chosen.unwrap_or_default() {
-            let (victim_job, victim_unit) = (running[index].job, running[index].unit);
+        let chosen = chosen.unwrap_or_default();
+        let ends = self.next_ends(blocked, pool);
+        let options = RoomOptions {
+            outlook: blocked.outlook,
+            guaranteed: blocked.waiting.guaranteed,
+            ends_ms: ends.as_ref().map(|ends| ends.after_ms),
+            displacement_cost: chosen.iter().map(|&one| victims[one].lost_work).sum(),
+            stop_ms: self.timing.stop_ms,
+        };
+        let choice = options.choose();
+        if choice == RoomChoice::Displace {
+            if !chosen.is_empty() {
+                self.preempt(blocked, pool, &running, &chosen);
+            }
+            return true;
+        }
+        self.log_choice(blocked, &options);
+        if let Some(ends) = &ends {
+            self.reserve(blocked, pool, &ends.chosen);
+        }
+        ends.is_some()
+    }
+
+    fn log_choice(&self, blocked: &BlockedUnit, options: &RoomOptions) {
+        metrics::counter!("hemlockramp_displacements_spared_total").increment(1);
+        log::debug!(
+            target: LOG_TARGET,
+            job = blocked.claim.job.as_str(), unit = blocked.claim.unit,
+            slack_ms = options.outlook.slack_ms, ends_ms = options.ends_ms,
+            displacement_cost = options.displacement_cost / MILLICORE_MS_PER_CORE_S;
+            "owner: a unit waits rather than displace others."
+        );
+    }
+
+    /// Preempts the chosen units and reserves the capacity that they free.
+    fn preempt(
+        &mut self,
+        blocked: &BlockedUnit,
+        pool: &mut PlacementPool,
+        running: &[RunningVictim],
+        chosen: &[usize],
+    ) {
+        for &index in chosen {
+            let RunningVictim { victim, job, unit } = &running[index];
+            let cost = victim.lost_work / MILLICORE_MS_PER_CORE_S;
             log::info!(
                 target: LOG_TARGET,
-                job = self.jobs[victim_job].id.as_str(), unit = victim_unit,
+                job = self.jobs[*job].id.as_str(), unit = *unit,
                 for_job = blocked.claim.job.as_str(), for_unit = blocked.claim.unit,
-                lost = running[index].victim.lost_work / MILLICORE_MS_PER_CORE_S;
+                guaranteed = blocked.waiting.guaranteed, slack_ms = blocked.waiting.slack_ms, cost,
+                queue = self.jobs[*job].record.queue.as_str(), tasks = victim.upstreams.len(),
+                worked_ms = self.worked_ms(*job, *unit);
                 "owner: a unit makes room for more urgent work."
             );
             metrics::counter!("hemlockramp_displaced_total").increment(1);
-            self.jobs[victim_job].units[victim_unit].preempted += 1;
-            self.stop_unit(victim_job, victim_unit);
+            metrics::histogram!("hemlockramp_displacement_cost_core_seconds").record(cost as f64);
+            self.jobs[*job].units[*unit].preempted += 1;
+            self.stop_unit(*job, *unit);
         }
         let after_stops = self.upstreams_after_stops(pool);
         if let Some(chosen) = place_unit(blocked.demand, &blocked.claim, &after_stops) {
@@ -127,7 +176,7 @@
         })
     }
 
-    fn upstreams_without(
+    pub(super) fn upstreams_without(
         &self,
         pool: &PlacementPool,
         is_removed: impl Fn(usize, usize) -> bool,
@@ -154,8 +203,10 @@
         }
     }
 
-    /// Returns the running units in the pool whose claims are weaker than `rank`.
-    fn running_victims(&self, rank: u32, pool: &PlacementPool) -> Vec<RunningVictim> {
+    /// Returns the running units in the pool whose claims are weaker than the unit's.
+    fn running_victims(&self, blocked: &BlockedUnit, pool: &PlacementPool) -> Vec<RunningVictim> {
+        let rank = blocked.claim.rank;
+        let away_ms = self.timing.stop_ms + blocked.estimate_ms;
         let ranks = self.running_ranks();
         let mut victims = Vec::new();
         for (victim_job, state) in self.jobs.iter().enumerate() {
@@ -165,7 +216,8 @@
             for unit in 0..state.units.len() {
                 let preemptible = state.units[unit].phase == UnitPhase::Active;
                 if preemptible && !state.step(unit).lasting {
-                    victims.extend(self.running_victim(victim_job, unit, ranks[victim_job], pool));
+                    let rank = ranks[victim_job];
+                    victims.extend(self.running_victim(victim_job, unit, rank, away_ms, pool));
                 }
             }
         }
@@ -177,6 +229,7 @@
         job: usize,
         unit: usize,
         rank: u32,
+        away_ms: u64,
         pool: &PlacementPool,
     ) -> Option<RunningVictim> {
         let state = &self.jobs[job];
@@ -195,21 +248,20 @@
         if upstreams.is_empty() {
             return None;
         }
-        let lost_ms = match step.checkpoints {
-            true => CHECKPOINT_LOSS_MS,
-            false => self
-                .now
-                .steady_ms
-                .saturating_sub(state.units[unit].since_ms),
+        let step_index = state.shapes[unit].step as usize;
+        let needed_ms = self.run_left_ms(job, unit) + state.record.spec.path_after_ms(step_index);
+        let running = RunningUnit {
+            outlook: self.unit_outlook(job, unit, needed_ms),
+            worked_ms: self.worked_ms(job, unit),
+            checkpoints: step.checkpoints,
+            rate_milli: step.need.weight_milli() * upstreams.len() as u64,
+            displaced: state.units[unit].preempted,
         };
-        let tasks = upstreams.len() as u64;
-        // Each earlier preemption raises the cost, so that no unit is preempted indefinitely.
-        let preemption_weight = u64::from(state.units[unit].preempted) + 1;
         Some(RunningVictim {
             victim: VictimUnit {
                 upstreams,
                 need: step.need,
-                lost_work: lost_ms * step.need.weight_milli() * tasks * preemption_weight,
+                lost_work: running.displacement_cost(away_ms),
                 rank,
             },
             job,
--- /dev/null
+++ b/src/work/owner/run_ends.rs
@@ -0,0 +1,123 @@
+//! Runs that are expected to end by themselves, and the room that they leave.
+
+use crate::work::load::room_choice::wait_horizons;
+use crate::work::owner::PoolOwner;
+use crate::work::owner::placement_pool::PlacementPool;
+use crate::work::owner::preemption::BlockedUnit;
+use crate::work::owner::unit_state::{MemberState, UnitPhase};
+use crate::work::placing::placement::place_unit;
+use crate::work::placing::remaining::remaining_ms;
+use crate::work::placing::slowdown::{TaskProgress, UpstreamSlowdown};
+
+/// Part of the time at work that a run needs at least, as a divisor: one that should have ended is
+/// not expected any moment for ever.
+const OVERDUE_DIVISOR: u64 = 10;
+
+/// A run that is expected to end by itself.
+struct ExpectedEnd {
+    job: usize,
+    unit: usize,
+    after_ms: u64,
+}
+
+/// Room that runs leave when they end by themselves.
+pub(super) struct EndingRoom {
+    /// Time until it is free, in ms.
+    pub(super) after_ms: u64,
+    /// Candidates for the unit's tasks.
+    pub(super) chosen: Vec<usize>,
+}
+
+impl PoolOwner {
+    /// Returns the room that runs leave for the unit when they end by themselves, if they do so in
+    /// time.
+    pub(super) fn next_ends(
+        &self,
+        blocked: &BlockedUnit,
+        pool: &PlacementPool,
+    ) -> Option<EndingRoom> {
+        if blocked.waiting.guaranteed {
+            return None;
+        }
+        let slack_ms = blocked.waiting.slack_ms;
+        let ends = self.expected_ends(slack_ms.max(self.timing.stop_ms as i64));
+        let mut horizons = wait_horizons(slack_ms, self.timing.stop_ms);
+        horizons.find_map(|after_ms| {
+            let candidates = self.upstreams_without(pool, |job, unit| {
+                let state = &self.jobs[job].units[unit];
+                state.phase == UnitPhase::Stopping
+                    || ends
+                        .binary_search_by_key(&(job, unit), |end| (end.job, end.unit))
+                        .is_ok_and(|index| ends[index].after_ms <= after_ms)
+            });
+            let chosen = place_unit(blocked.demand, &blocked.claim, &candidates)?;
+            Some(EndingRoom { after_ms, chosen })
+        })
+    }
+
+    /// Returns the runs that are expected to end within a time, sorted by job and unit.
+    fn expected_ends(&self, within_ms: i64) -> Vec<ExpectedEnd> {
+        let mut ends = Vec::new();
+        for (job, state) in self.jobs.iter().enumerate() {
+            for unit in 0..state.units.len() {
+                if state.units[unit].phase != UnitPhase::Active || state.step(unit).lasting {
+                    continue;
+                }
+                let after_ms = self.run_left_ms(job, unit);
+                if i64::try_from(after_ms).is_ok_and(|after| after <= within_ms) {
+                    ends.push(ExpectedEnd {
+                        job,
+                        unit,
+                        after_ms,
+                    });
+                }
+            }
+        }
+        ends
+    }
+
+    /// Returns how long a unit's run has been at work, in ms.
+    pub(super) fn worked_ms(&self, job: usize, unit: usize) -> u64 {
+        let run = &self.jobs[job].units[unit];
+        let began = run.members.iter().map(|member| member.began_ms).min();
+        let began_ms = began.filter(|began| *began > 0).unwrap_or(run.since_ms);
+        self.now.steady_ms.saturating_sub(began_ms)
+    }
+
+    /// Returns the time that a unit's run is expected to need, in ms; of a gang's members, the
+    /// slowest counts.
+    pub(super) fn run_left_ms(&self, job: usize, unit: usize) -> u64 {
+        let run = &self.jobs[job].units[unit];
+        let members = run.members.iter();
+        let left = members.map(|member| self.member_left_ms(job, unit, member));
+        let least_ms = self.worked_ms(job, unit) / OVERDUE_DIVISOR;
+        left.max().unwrap_or(0).max(least_ms)
+    }
+
+    fn member_left_ms(&self, job: usize, unit: usize, member: &MemberState) -> u64 {
+        let upstream = member.upstream.as_ref();
+        let index = upstream.and_then(|name| self.upstream_index(name));
+        let slowdown = index.map_or_else(UpstreamSlowdown::default, |index| {
+            self.upstreams[index].slowdown
+        });
+        let resumed = !self.jobs[job].units[unit].resumed.is_empty();
+        let progress = (member.began_ms > 0).then(|| TaskProgress {
+            percent: member.percent,
+            elapsed_ms: member.reported_ms.saturating_sub(member.began_ms),
+        });
+        let estimate_ms = self.jobs[job].step(unit).estimate_ms;
+        let left_ms = match progress {
+            // The progress includes that of earlier runs, the time at work does not.
+            Some(progress) if resumed => {
+                let left_percent = u64::from(100 - progress.percent.min(100));
+                slowdown.expected(estimate_ms) * left_percent / 100
+            }
+            progress => remaining_ms(progress, estimate_ms, slowdown),
+        };
+        let since_ms = match progress {
+            Some(_) => member.reported_ms,
+            None => self.jobs[job].units[unit].since_ms,
+        };
+        left_ms.saturating_sub(self.now.steady_ms.saturating_sub(since_ms))
+    }
+}
--- a/src/work/owner/team_usage.rs
+++ b/src/work/owner/team_usage.rs
@@ -1,6 +1,7 @@
 //! Usage of teams and urgent work, compared with the teams' guarantees.
 
 use crate::tables::name::ObjectName;
+use crate::work::load::fair_share::{ShareLevel, TeamHolding};
 use crate::work::model::amount::ResourceAmount;
 use crate::work::owner::PoolOwner;
 use crate::work::owner::unit_state::{MemberPhase, MemberState};
@@ -12,7 +13,48 @@
     held: u64,
 }
 
+/// Share levels of the teams with open work.
+#[derive(Default)]
+pub(super) struct TeamShares {
+    /// Sorted by team.
+    levels: Vec<(ObjectName, ShareLevel)>,
+}
+
+impl TeamShares {
+    /// Returns a team's level; callers without a team hold no share.
+    pub(super) fn level(&self, team: Option<&ObjectName>) -> ShareLevel {
+        let found = team.and_then(|team| {
+            let row = self.levels.binary_search_by(|(other, _)| other.cmp(team));
+            row.ok()
+        });
+        found.map_or(ShareLevel::default(), |index| self.levels[index].1)
+    }
+}
+
 impl PoolOwner {
+    /// Returns how much each team with open work holds against its share of all upstreams.
+    pub(super) fn team_shares(&self) -> TeamShares {
+        let mut teams: Vec<TeamUsage> = Vec::new();
+        for job in 0..self.jobs.len() {
+            if let Some(team) = &self.jobs[job].record.team {
+                add_usage(&mut teams, team, self.held_accelerators(job));
+            }
+        }
+        let reports = self.upstreams.iter().filter_map(|one| one.report.as_ref());
+        let accelerators = reports.map(|report| report.capacity.accelerators).sum();
+        let open = teams.len() as u64;
+        let level = |row: TeamUsage| {
+            let holding = TeamHolding {
+                held: row.held,
+                guaranteed: self.config.guaranteed(&row.team),
+            };
+            (row.team, holding.level(accelerators, open))
+        };
+        TeamShares {
+            levels: teams.into_iter().map(level).collect(),
+        }
+    }
+
     /// Returns the usage of each team's urgent jobs, sorted by team.
     pub(super) fn team_usage(&self) -> Vec<TeamUsage> {
         let mut teams: Vec<TeamUsage> = Vec::new();
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -735,7 +735,7 @@
         let hides = self.listing.hides_stopping;
         let runs = self.upstreams[index].runs.iter();
         let listed = runs.filter(|run| !hides || run.stopping_ms.is_none());
-        listed.map(running_row).collect()
+        listed.map(|run| running_row(run, self.now_ms)).collect()
     }
 
     fn listed_ended(&self, index: usize) -> Vec<EndedTask> {
@@ -1078,12 +1078,14 @@
     }
 }
 
-fn running_row(run: &SimRun) -> RunningTask {
+fn running_row(run: &SimRun, now_ms: u64) -> RunningTask {
+    let worked_ms = now_ms - run.begun_ms;
+    let percent = worked_ms * 100 / worked_ms.saturating_add(run.left_ms).max(1);
     RunningTask {
         task: run.order.task.clone(),
         run: run.order.run,
         checkpoint: Arc::from(""),
-        percent: 50,
+        percent: percent as u32,
     }
 }
 
--- a/tests/work_decisions.rs
+++ b/tests/work_decisions.rs
@@ -2,6 +2,7 @@
 //! owner election, store health and headroom.
 
 use hemlockramp::tables::name::ObjectName;
+use hemlockramp::work::load::fair_share::ShareLevel;
 use hemlockramp::work::load::queue_order::{WaitingUnit, order_key};
 use hemlockramp::work::load::victims::{VictimUnit, choose_victims};
 use hemlockramp::work::model::amount::ResourceAmount;
@@ -297,6 +298,7 @@
         expired: false,
         work: 1_000_000_000,
         job_started: false,
+        share: ShareLevel::Within,
     };
     let order = [
         WaitingUnit {
