Use all the room of a displaced gang before displacing others

A gang was counted anew on every upstream where it ran, so that a second unit was displaced while room of the first stayed idle. A chosen victim now costs nothing on its other upstreams.

--- a/src/work/load/victims.rs
+++ b/src/work/load/victims.rs
@@ -27,11 +27,18 @@
 
 /// Capacity for one task, gained by preempting units.
 struct PreemptedSlot {
-    /// Work lost in addition to that of the slots freed earlier on the same upstream.
-    cost: u64,
+    /// Victims in addition to those of the slots freed earlier on the same upstream.
     victims: Vec<usize>,
 }
 
+impl PreemptedSlot {
+    /// Returns the work lost in addition to that of the victims chosen already.
+    fn cost(&self, victims: &[&VictimUnit], choice: &SlotChoice) -> u64 {
+        let added = self.victims.iter().filter(|victim| !choice.holds(**victim));
+        added.map(|&victim| victims[victim].lost_work).sum()
+    }
+}
+
 /// The first slots of an upstream that are not taken yet. The cheapest are taken first.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 struct SlotPrefix {
@@ -44,9 +51,23 @@
 #[derive(Default)]
 struct SlotChoice {
     cost: u64,
+    /// Sorted.
     victims: Vec<usize>,
 }
 
+impl SlotChoice {
+    fn holds(&self, victim: usize) -> bool {
+        self.victims.binary_search(&victim).is_ok()
+    }
+
+    fn add(&mut self, slot: &PreemptedSlot, victims: &[&VictimUnit]) {
+        self.cost += slot.cost(victims, self);
+        self.victims.extend(&slot.victims);
+        self.victims.sort_unstable();
+        self.victims.dedup();
+    }
+}
+
 /// Chooses the victims that make the unit fit, as indexes into `victims`. Returns `None` if no
 /// choice does.
 pub fn choose_victims(
@@ -74,33 +95,36 @@
         let usable = (0..slots.len()).filter(inside);
         cheapest_slots(
             usable.map(|index| slots[index].as_slice()).collect(),
+            victims,
             demand.count,
         )
     });
-    let mut chosen = choices.min_by_key(|choice| choice.cost)?.victims;
-    chosen.sort_unstable();
-    chosen.dedup();
-    Some(chosen)
+    let cheapest = choices.min_by_key(|choice| choice.cost)?;
+    Some(cheapest.victims)
 }
 
 /// Takes `wanted` slots, given those of each upstream in the order in which they are freed. A slot
 /// may cost nothing once an earlier one on its upstream has been freed, so the slots up to it are
-/// taken together. Returns `None` if there are not enough.
-fn cheapest_slots(mut by_upstream: Vec<&[PreemptedSlot]>, wanted: usize) -> Option<SlotChoice> {
+/// taken together; and one costs nothing where a victim chosen for another upstream also runs, so
+/// that the room of a displaced gang is used. Returns `None` if there are not enough.
+fn cheapest_slots(
+    mut by_upstream: Vec<&[PreemptedSlot]>,
+    victims: &[&VictimUnit],
+    wanted: usize,
+) -> Option<SlotChoice> {
     let mut choice = SlotChoice::default();
     let mut missing = wanted;
     while missing > 0 {
-        let prefixes = by_upstream
-            .iter()
-            .enumerate()
-            .filter_map(|(index, slots)| Some((cheapest_prefix(slots, missing)?, index)));
+        let prefixes = by_upstream.iter().enumerate().filter_map(|(index, slots)| {
+            Some((cheapest_prefix(slots, victims, &choice, missing)?, index))
+        });
         let (prefix, index) = prefixes.min()?;
         let Reverse(count) = prefix.slots;
         let (taken, rest) = by_upstream[index].split_at(count);
         by_upstream[index] = rest;
-        choice.cost += taken.iter().map(|slot| slot.cost).sum::<u64>();
-        let victims = taken.iter().flat_map(|slot| &slot.victims);
-        choice.victims.extend(victims);
+        for slot in taken {
+            choice.add(slot, victims);
+        }
         missing -= count;
     }
     Some(choice)
@@ -108,10 +132,15 @@
 
 /// Returns the prefix of up to `missing` slots that loses the least work for each slot, the longest
 /// of equals; `None` if no slot is left.
-fn cheapest_prefix(slots: &[PreemptedSlot], missing: usize) -> Option<SlotPrefix> {
+fn cheapest_prefix(
+    slots: &[PreemptedSlot],
+    victims: &[&VictimUnit],
+    choice: &SlotChoice,
+    missing: usize,
+) -> Option<SlotPrefix> {
     let mut cost = 0;
     let prefixes = slots.iter().take(missing).enumerate().map(|(index, slot)| {
-        cost += slot.cost;
+        cost += slot.cost(victims, choice);
         SlotPrefix {
             cost_per_slot: cost / (index as u64 + 1),
             slots: Reverse(index + 1),
@@ -154,7 +183,6 @@
     let mut slots = Vec::new();
     while slots.len() < slots_max.min(demand.count) {
         let mut slot = PreemptedSlot {
-            cost: 0,
             victims: Vec::new(),
         };
         while !free.holds(&demand.need) {
@@ -166,7 +194,6 @@
             for _ in 0..tasks {
                 free = free.plus(&unit.need);
             }
-            slot.cost += unit.lost_work;
             slot.victims.push(victim);
         }
         free = free.minus(&demand.need);
--- a/tests/room_decisions.rs
+++ b/tests/room_decisions.rs
@@ -6,16 +6,27 @@
 use hemlockramp::work::load::fair_share::{ShareLevel, TeamHolding};
 use hemlockramp::work::load::queue_order::{WaitingUnit, order_key};
 use hemlockramp::work::load::room_choice::{RoomChoice, RoomOptions, wait_horizons};
+use hemlockramp::work::load::victims::{VictimUnit, choose_victims};
 use hemlockramp::work::model::amount::ResourceAmount;
+use hemlockramp::work::placing::placement::{
+    CandidateUpstream, CapacityClaim, UnitDemand, claim_rank,
+};
+use hemlockramp::work::placing::slowdown::UpstreamSlowdown;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use support::pool_sim::{PoolSim, step};
+use support::pool_sim::{PoolSim, name, step};
 
 /// Work of a task that keeps a core busy for a second, in millicore-milliseconds.
 const CORE_SECOND: u64 = 1_000_000;
 /// Longest time that a stop takes, in ms.
 const STOP_MS: u64 = 200;
 
+/// Capacity of an upstream.
+const CAPACITY: ResourceAmount = ResourceAmount {
+    cpu_milli: 64_000,
+    memory_mb: 128_000,
+    accelerators: 8,
+};
 const BATCH: UnitOutlook = UnitOutlook {
     priority: 2,
     work: 100 * CORE_SECOND,
@@ -88,6 +99,41 @@
     assert!(costs.is_sorted(), "{costs:?}");
 }
 
+/// Load: an urgent gang on a pool of wide gangs. Each of them was counted anew on every upstream, so
+/// that several were displaced and most of their room stayed idle.
+#[test]
+fn room_of_a_displaced_gang_is_used_before_others_are_displaced() {
+    let victim = |upstreams: &[usize], lost_work| VictimUnit {
+        upstreams: upstreams.to_vec(),
+        need: CAPACITY,
+        lost_work,
+        rank: claim_rank(2, false),
+    };
+    let victims = [victim(&[0, 1], 100), victim(&[2], 101), victim(&[3], 102)];
+    let candidates = [0, 1, 2, 3].map(|index| CandidateUpstream {
+        name: name(&format!("u{index}")),
+        rack: None,
+        labels: Vec::new(),
+        capacity: CAPACITY,
+        free: ResourceAmount::default(),
+        failure_score: 0.0,
+        slowdown: UpstreamSlowdown::default(),
+        reserved: None,
+    });
+    let demand = UnitDemand {
+        count: 2,
+        need: CAPACITY,
+        ..UnitDemand::default()
+    };
+    let claim = CapacityClaim {
+        job: name("gang"),
+        unit: 0,
+        rank: claim_rank(0, false),
+    };
+    let chosen = choose_victims(&demand, &claim, &candidates, &victims.each_ref());
+    assert_eq!(chosen, Some(vec![0]));
+}
+
 struct ChoiceCase {
     what: &'static str,
     options: RoomOptions,
@@ -210,12 +256,7 @@
         wide_runs,
     });
     for case in cases {
-        let capacity = ResourceAmount {
-            cpu_milli: 64_000,
-            memory_mb: 128_000,
-            accelerators: 8,
-        };
-        let mut pool = PoolSim::new(ChaCha8Rng::seed_from_u64(7), 2, capacity);
+        let mut pool = PoolSim::new(ChaCha8Rng::seed_from_u64(7), 2, CAPACITY);
         pool.take_over();
         pool.submit_as("guest", "wide", "batch", vec![step(2, 10_000, 8, true)]);
         pool.run_for(case.worked_ms);
