--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -22,6 +22,7 @@
 pub mod replies;
 mod restore;
 mod row_records;
+mod run_ends;
 mod speeds;
 pub mod start_gate;
 pub mod step_bias;
@@ -30,6 +31,7 @@
 mod timing;
 pub mod unit_state;
 pub mod upstream_state;
+mod waiting;
 
 pub use recording::RowBatch;
 pub use timing::OwnerTiming;
