Show that crowds take the gateway and the scheduler beyond their limits

Cause: their HTTP server takes connections, heads and bodies without a bound on their number or sum.

Change: both processes' settings name memory and descriptors (memory_mb, max_fds; not yet used), and a test plays 15 crowds of 320 clients against real processes with 64 MB and 400 descriptors. The crowd itself moves to the stand-ins, as it was, and both tests use it.

--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -11,6 +11,7 @@
 use crate::routing::slots::SlotPolicy;
 use crate::settings::load::{checked_count, checked_ms};
 use crate::tables::name::ObjectName;
+use crate::work::intake::limits::{MachineLimits, default_max_fds, default_memory_mb};
 
 /// Gateway settings as read from the file, before range checks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -34,6 +35,12 @@
     /// Longest wait for calls in flight at shutdown, in ms; 0 to 3600000, default 30000.
     #[serde(default = "default_drain")]
     pub drain_ms: u64,
+    /// Memory that the process may use, in MB; 32 to 1048576, default 256.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
+    /// Descriptors that the process may have open; 256 to 1048576, default 4096.
+    #[serde(default = "default_max_fds")]
+    pub max_fds: u64,
 }
 
 fn default_call() -> u64 {
@@ -149,6 +156,8 @@
     pub call_timeout: Duration,
     /// Longest wait for calls in flight at shutdown.
     pub drain: Duration,
+    /// Memory and descriptors of the process.
+    pub machine: MachineLimits,
 }
 
 impl TryFrom<RawGatewaySettings> for GatewaySettings {
@@ -165,7 +174,9 @@
         let requests = RequestSettings::try_from(raw.requests.clone())?;
         let call_timeout = checked_ms("call_timeout_ms", raw.call_timeout_ms, 100..=60_000)?;
         let drain = checked_ms("drain_ms", raw.drain_ms, 0..=3_600_000)?;
+        let machine = MachineLimits::checked(raw.memory_mb, raw.max_fds)?;
         Ok(Self {
+            machine,
             raw,
             requests,
             call_timeout,
--- a/src/settings/scheduler.rs
+++ b/src/settings/scheduler.rs
@@ -10,6 +10,7 @@
 use crate::settings::load::{checked_count, checked_ms};
 use crate::systems::policy::PolicySettings;
 use crate::tables::name::ObjectName;
+use crate::work::intake::limits::{MachineLimits, default_max_fds, default_memory_mb};
 
 /// Scheduler settings as read from the file, before range checks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -37,6 +38,12 @@
     /// Weights and limits of the placement policy.
     #[serde(default)]
     pub policy: PolicySettings,
+    /// Memory that the process may use, in MB; 32 to 1048576, default 256.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
+    /// Descriptors that the process may have open; 256 to 1048576, default 4096.
+    #[serde(default = "default_max_fds")]
+    pub max_fds: u64,
 }
 
 fn default_journal() -> ObjectName {
@@ -194,6 +201,8 @@
     pub raw: RawSchedulerSettings,
     /// Checked timeouts, intervals and snapshot thresholds.
     pub timing: TimingSettings,
+    /// Memory and descriptors of the process.
+    pub machine: MachineLimits,
 }
 
 impl TryFrom<RawSchedulerSettings> for SchedulerSettings {
@@ -202,7 +211,12 @@
     fn try_from(raw: RawSchedulerSettings) -> Result<Self, Report> {
         let timing = TimingSettings::try_from(raw.timing.clone())?;
         check_policy(&raw.policy)?;
-        Ok(Self { raw, timing })
+        let machine = MachineLimits::checked(raw.memory_mb, raw.max_fds)?;
+        Ok(Self {
+            raw,
+            timing,
+            machine,
+        })
     }
 }
 
--- a/src/work/intake/limits.rs
+++ b/src/work/intake/limits.rs
@@ -1,5 +1,11 @@
 //! Bounds of a host's listeners, derived from the memory and descriptors of its machine.
 
+use std::ops::RangeInclusive;
+
+use eyre::Report;
+
+use crate::settings::load::checked_count;
+
 /// Descriptors of a process that are reserved for files.
 const FILE_DESCRIPTORS: usize = 200;
 /// Share of the sockets for callers, as a divisor. The other half is for upstreams and the store.
@@ -23,9 +29,23 @@
 /// Time within which a client sends the head of a request, in ms.
 pub const HEAD_TIMEOUT_MS: u64 = 10_000;
 /// Memory of a machine that names none, in MB.
-pub const MEMORY_DEFAULT_MB: u64 = 256;
+const MEMORY_DEFAULT_MB: u64 = 256;
 /// Descriptors of a machine that names none.
-pub const DESCRIPTORS_DEFAULT: u64 = 4_096;
+const DESCRIPTORS_DEFAULT: u64 = 4_096;
+/// Memory that may be set for a process, in MB.
+const MEMORY_MB: RangeInclusive<u64> = 32..=1_048_576;
+/// Number of descriptors that may be set for a process.
+const DESCRIPTORS: RangeInclusive<u64> = 256..=1_048_576;
+
+/// Returns the memory of a machine whose settings name none, in MB.
+pub fn default_memory_mb() -> u64 {
+    MEMORY_DEFAULT_MB
+}
+
+/// Returns the number of descriptors of a machine whose settings name none.
+pub fn default_max_fds() -> u64 {
+    DESCRIPTORS_DEFAULT
+}
 
 /// Memory and descriptors of the machine that a process runs on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,6 +65,17 @@
         }
     }
 
+    /// Checks the settings `memory_mb`, in MB, and `max_fds`.
+    ///
+    /// # Errors
+    ///
+    /// Names the key that is out of range.
+    pub fn checked(memory_mb: u64, descriptors: u64) -> Result<Self, Report> {
+        let memory_mb = checked_count("memory_mb", memory_mb, MEMORY_MB)?;
+        let descriptors = checked_count("max_fds", descriptors, DESCRIPTORS)?;
+        Ok(Self::new(memory_mb, descriptors))
+    }
+
     /// Returns the bounds of the listener that callers use.
     pub fn caller_intake(&self) -> IntakeLimits {
         let by_memory = self.memory_bytes / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
--- a/standins/src/bin/demo.rs
+++ b/standins/src/bin/demo.rs
@@ -59,6 +59,7 @@
         runners: 2,
         timing: json!({}),
         requests: json!({}),
+        machine: json!({}),
         list_lag: Duration::from_millis(500),
         folder,
     })
--- a/standins/src/bin/request_load.rs
+++ b/standins/src/bin/request_load.rs
@@ -45,6 +45,7 @@
         runners: RUNNERS,
         timing: json!({}),
         requests: json!({ "runner_connections": 16 }),
+        machine: json!({}),
         list_lag: Duration::ZERO,
         folder,
     })
--- a/standins/src/deployment_plan.rs
+++ b/standins/src/deployment_plan.rs
@@ -30,6 +30,8 @@
     pub timing: Value,
     /// Overrides of the gateways' `requests` settings.
     pub requests: Value,
+    /// Memory and descriptors of the daemons; keys that are left out have their defaults.
+    pub machine: Value,
     /// Delay before a change of the host list becomes visible.
     pub list_lag: Duration,
     /// Directory of the daemons' settings files and logs.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,12 +3,14 @@
 
 pub mod caller;
 pub mod condition;
+pub mod crowd;
 pub mod deployment_host;
 pub mod deployment_plan;
 pub mod fault;
 pub mod host_list;
 pub mod log_service;
 pub mod process;
+pub mod process_use;
 pub mod replay;
 pub mod run_invariants;
 pub mod runner;
--- a/standins/src/test_deployment.rs
+++ b/standins/src/test_deployment.rs
@@ -195,8 +195,12 @@
         name: &str,
         settings: &Value,
     ) -> Result<Child, Report> {
+        let mut settings = settings.clone();
+        for (key, value) in self.plan.machine.as_object().into_iter().flatten() {
+            settings[key] = value.clone();
+        }
         let file = self.plan.folder.join(format!("{name}.json"));
-        fs::write(&file, serde_json::to_string_pretty(settings)?)?;
+        fs::write(&file, serde_json::to_string_pretty(&settings)?)?;
         let output = fs::OpenOptions::new()
             .create(true)
             .append(true)
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -35,6 +35,7 @@
                 runners: 2,
                 timing: json!({}),
                 requests: json!({}),
+                machine: json!({}),
                 list_lag: Duration::from_millis(300),
                 folder,
             },
@@ -61,6 +62,11 @@
         self
     }
 
+    pub fn machine(mut self, machine: Value) -> Self {
+        self.plan.machine = machine;
+        self
+    }
+
     pub async fn start(self) -> TestDeployment {
         TestDeployment::start(self.plan)
             .await
