--- a/src/work/model/speed_record.rs
+++ b/src/work/model/speed_record.rs
@@ -3,10 +3,9 @@
 //! Their keys sort after those of all jobs' rows, whose ids are hexadecimal, and before the key of
 //! the fence. Older versions skip them.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
-
 use eyre::Report;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::tables::name::ObjectName;
 use crate::work::model::record::{decode, encode};
@@ -32,9 +31,7 @@
 
 /// Returns the number of the row that holds an upstream.
 pub fn speed_row_number(name: &ObjectName) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    name.as_str().hash(&mut hasher);
-    hasher.finish() % SPEED_ROWS
+    xxh3_64(name.as_str().as_bytes()) % SPEED_ROWS
 }
 
 /// Encodes the row with this number.
--- a/src/work/placing/speed/table.rs
+++ b/src/work/placing/speed/table.rs
@@ -53,9 +53,7 @@
         let all = self.settled.updated_by(&self.live);
         self.slowdown = all.applied_to(classes).slowdown();
     }
-}
 
-impl UpstreamSpeed {
     fn is_outdated(&self) -> bool {
         let (now, stored) = (self.slowdown_before, self.stored);
         let moved = (now.log_mean() - stored.log_mean()).abs() > STORED_MEAN_TOLERANCE;
