--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -6,11 +6,12 @@
 use crate::work::clock::{ClockReading, drift_safe_wait_ms};
 use crate::work::model::amount::ResourceAmount;
 use crate::work::model::crash_record::UpstreamLife;
+use crate::work::model::evacuation::EvacuatedDomains;
 use crate::work::model::upstream::{OrderTarget, UpstreamReport};
 use crate::work::owner::OwnerTiming;
 use crate::work::owner::failure_ledger::EXCLUSION_SCORE;
+use crate::work::owner::start_gate::{StartConditions, StartStage, StartVerdict, start_verdict};
 use crate::work::placing::placement::CapacityClaim;
-use crate::work::placing::slowdown::UpstreamSlowdown;
 
 /// Time after a lease's end by which its tasks have certainly stopped, in ms.
 pub(super) const LEASE_EXPIRY_MARGIN_MS: u64 = 250;
@@ -88,9 +89,7 @@
     pub failure_score: f64,
     /// Used only if the others do not suffice before this time, since runs have failed there, steady ms.
     pub excluded_until_ms: u64,
-    /// Estimated slowdown against other upstreams.
-    pub slowdown: UpstreamSlowdown,
-    /// Earliest time of the next slowdown sample, steady ms.
+    /// Earliest time of the next look at the progress of its runs, steady ms.
     pub next_sample_ms: u64,
     /// No new work before this time, steady ms.
     pub quarantined_until_ms: u64,
@@ -129,7 +128,6 @@
             gave_up_runs: false,
             failure_score: 0.0,
             excluded_until_ms: 0,
-            slowdown: UpstreamSlowdown::default(),
             next_sample_ms: 0,
             quarantined_until_ms: 0,
             reserved: None,
@@ -146,16 +144,27 @@
         })
     }
 
+    /// Returns what speaks against starts on it, at any stage.
+    pub fn start_conditions(&self, now_ms: u64, evacuated: &EvacuatedDomains) -> StartConditions {
+        let report = self.report.as_ref();
+        StartConditions {
+            evacuated: report.is_some_and(|report| evacuated.contains(&report.domain)),
+            draining: report.is_none_or(|report| report.draining),
+            unlisted: !self.listed || self.clock.is_none(),
+            silent: self.missed_renewals > 0,
+            unreconciled: !self.reconciled,
+            quarantined: self.quarantined_until_ms > now_ms,
+            ..StartConditions::default()
+        }
+    }
+
     /// Returns whether new work may be placed on it.
-    pub fn is_schedulable(&self, now_ms: u64) -> bool {
-        let draining = self.report.as_ref().is_none_or(|report| report.draining);
-        self.listed
-            && !draining
-            && self.missed_renewals == 0
-            && !self.gave_up_runs
-            && self.quarantined_until_ms <= now_ms
-            && self.clock.is_some()
-            && (self.reconciled || (self.held.is_empty() && self.restarts == 0))
+    pub fn is_schedulable(&self, now_ms: u64, evacuated: &EvacuatedDomains) -> bool {
+        let mut conditions = self.start_conditions(now_ms, evacuated);
+        conditions.silent |= self.gave_up_runs;
+        // One that holds nothing of this owner or an earlier one need not tell what runs there.
+        conditions.unreconciled &= !self.held.is_empty() || self.restarts > 0;
+        start_verdict(StartStage::Placement, &conditions) == StartVerdict::Pass
     }
 
     /// Excludes it until then if its failed runs speak against it.
