Bound the memory for jobs that wait

Tests: `jobs_that_wait_fill_the_memory_for_them` (retention); retention, follow and paused_owner passed, clippy was clean. The schema test of the platform was not run.

--- a/src/work/calls/job_service.rs
+++ b/src/work/calls/job_service.rs
@@ -86,6 +86,10 @@
         if known(id) {
             return Ok(());
         }
+        let job_memory_bytes = self.context.identity.job_memory_bytes;
+        if !self.context.jobs_view.borrow().has_room(job_memory_bytes) {
+            return Err(self.unavailable(StreamName::Jobs, "too many jobs wait"));
+        }
         let record = JobRecord {
             team: call.team.clone(),
             queue: call.queue.clone(),
--- a/src/work/state/context.rs
+++ b/src/work/state/context.rs
@@ -40,6 +40,8 @@
     pub timing: OwnerTiming,
     /// Sizes that the store accepts.
     pub limits: StoreLimits,
+    /// Memory for the records of accepted jobs that are not over, in bytes.
+    pub job_memory_bytes: u64,
     /// Time for which the state of a job that is over is kept, in ms.
     pub retention_ms: u64,
 }
--- a/src/work/state/jobs_view.rs
+++ b/src/work/state/jobs_view.rs
@@ -36,6 +36,8 @@
     /// The accepted job; none while only its other records have been read, and once it is over and
     /// holds no upstream.
     pub record: Option<Rc<JobRecord>>,
+    /// Size of that record as stored, in bytes; 0 for none.
+    record_bytes: u64,
     /// Whether a caller has cancelled the job.
     pub cancelled: bool,
     /// The newest phase that the owner has recorded.
@@ -55,6 +57,7 @@
         Self {
             id: id.clone(),
             record: None,
+            record_bytes: 0,
             cancelled: false,
             phase: JobPhase::Queued,
             settled_ms: None,
@@ -163,6 +166,8 @@
     listing: u64,
     /// Whether some jobs are removed and not yet forgotten.
     any_removed: bool,
+    /// Size of the records of accepted jobs that are kept, in bytes.
+    record_bytes: u64,
 }
 
 impl JobsView {
@@ -176,16 +181,28 @@
         self.listing += 1;
     }
 
+    /// Returns whether another job may be accepted, if the records of accepted jobs may take this many
+    /// bytes.
+    pub fn has_room(&self, record_bytes_max: u64) -> bool {
+        self.record_bytes < record_bytes_max
+    }
+
+    fn count_record_bytes(&mut self) {
+        self.record_bytes = self.jobs.iter().map(|job| job.record_bytes).sum();
+    }
+
     /// Ends a listing. Jobs of which it had no record have been removed from the stream meanwhile.
     pub fn end_listing(&mut self) {
         let listing = self.listing;
         self.jobs.retain(|job| job.listing == listing);
+        self.count_record_bytes();
     }
 
     /// Forgets the jobs that have been removed from the stream. Call after applying records.
     pub fn forget_removed(&mut self) {
         if std::mem::take(&mut self.any_removed) {
             self.jobs.retain(|job| !job.removed);
+            self.count_record_bytes();
         }
     }
 
@@ -230,7 +247,10 @@
             return ViewChange::Other;
         }
         match WorkRecord::try_from(&stored.entry) {
-            Ok(record) => self.apply_record(stored.offset, record),
+            Ok(record) => {
+                let bytes = stored.entry.value.len() as u64;
+                self.apply_record(stored.offset, record, bytes)
+            }
             Err(error) => {
                 log::warn!(
                     target: LOG_TARGET, offset = stored.offset;
@@ -250,7 +270,10 @@
         };
         let job = &mut self.jobs[index];
         match kind {
-            JobRowKind::Job => job.record = None,
+            JobRowKind::Job => {
+                job.record = None;
+                self.record_bytes -= std::mem::take(&mut job.record_bytes);
+            }
             JobRowKind::Cancel => {}
             JobRowKind::Phase => {
                 job.removed = true;
@@ -259,13 +282,17 @@
         }
     }
 
-    fn apply_record(&mut self, offset: u64, record: WorkRecord) -> ViewChange {
+    fn apply_record(&mut self, offset: u64, record: WorkRecord, bytes: u64) -> ViewChange {
         self.config_version = self.config_version.max(record.config_version());
         match record {
             WorkRecord::Job(id, record) => {
                 let job = self.job_mut(&id);
                 // A job may be submitted more than once; its first record counts.
-                job.record.get_or_insert_with(|| Rc::from(record));
+                if job.record.is_none() {
+                    job.record = Some(Rc::from(record));
+                    job.record_bytes = bytes;
+                    self.record_bytes += bytes;
+                }
                 self.note_settled(&id);
                 ViewChange::Job(id)
             }
@@ -313,6 +340,7 @@
         let job = &mut self.jobs[index];
         // An id that is handed in again after its removal is a new job.
         if job.removed {
+            self.record_bytes -= job.record_bytes;
             *job = JobEntry::new(id);
         }
         job.listing = self.listing;
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -215,6 +215,7 @@
             record_bytes: 262_144,
             request_bytes: 2_097_152,
         },
+        job_memory_bytes: 64_000_000,
         retention_ms: 180_000,
     };
     HostContext::new(identity, store, (), KeyReader, Rc::new(PeerSet::default()))
--- a/tests/paused_owner.rs
+++ b/tests/paused_owner.rs
@@ -102,6 +102,7 @@
             record_bytes: 262_144,
             request_bytes: 2_097_152,
         },
+        job_memory_bytes: 64_000_000,
         retention_ms: 180_000,
     }
 }
--- a/tests/retention.rs
+++ b/tests/retention.rs
@@ -186,6 +186,30 @@
     }
     assert_eq!((day.view.jobs.len(), day.rows.len()), (0, 0));
     assert_eq!(day.owner.ended_count(), 0);
+    assert!(day.view.has_room(1));
+}
+
+/// Guards against hosts that outgrow their memory with work that waits (`review/6`): jobs came faster than
+/// they were done, and all of them were accepted.
+#[test]
+fn jobs_that_wait_fill_the_memory_for_them() {
+    const BYTES_MAX: u64 = 100_000;
+    let mut day = Day::new();
+    let mut number = 0;
+    while day.view.has_room(BYTES_MAX) {
+        number += 1;
+        day.submit(&job_id(number));
+    }
+    assert!((100..1_000).contains(&number), "{number} jobs of 100 bytes");
+    assert!(
+        !day.listed_view().has_room(BYTES_MAX),
+        "a host that starts agrees"
+    );
+    day.submit(&job_id(1));
+    for _ in 0..2 {
+        day.pass_second();
+    }
+    assert!(day.view.has_room(1) && day.listed_view().has_room(1));
 }
 
 /// An id that is handed in again after its job was removed is a new job; a host that starts, or that missed
