--- a/src/work/owner_loop/claim.rs
+++ b/src/work/owner_loop/claim.rs
@@ -211,8 +211,8 @@
             owner.on_report(report);
         }
     }
-    owner.restore_speeds(&runs.speeds);
     owner.drop_rows(orphaned_rows(&context.jobs_view.borrow(), &runs.jobs));
+    owner.restore_speeds(&runs.speeds);
     for job in &context.jobs_view.borrow().jobs {
         let Some(record) = &job.record else { continue };
         let rows = &runs.jobs;
