--- a/src/work/calls/admission.rs
+++ b/src/work/calls/admission.rs
@@ -11,9 +11,11 @@
 use tokio::time::timeout;
 
 use crate::work::calls::call::{AdmittedCall, CallHead, CallRefusal};
+use crate::work::calls::call_budget::time_budget_ms;
 use crate::work::calls::job_service::{CHECK_TIMEOUT_MS, JobService};
 use crate::work::clock::steady_ms;
 use crate::work::model::config::{CallerIdentity, RouteRow, WorkConfig};
+use crate::work::model::stream::StreamName;
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 
 /// Age of the configuration above which it is refreshed before a call is admitted.
@@ -25,10 +27,6 @@
 const CONCURRENT_CALLS_MS: u64 = 100;
 /// Delay after which an overtaken call is to be tried again, in ms.
 const OVERTAKEN_RETRY_MS: u64 = 500;
-/// Longest time spent on one call, however long the caller waits.
-const CALL_TIME_MAX_MS: u64 = 1_800;
-/// Part of the caller's timeout that is reserved for the response to travel back.
-const ANSWER_RESERVE_MS: u64 = 400;
 
 impl<S: StorePort, O: OrderPort, R: RecordReader> JobService<S, O, R> {
     /// Admits a call: matches its route and checks its key.
@@ -64,8 +62,12 @@
             Ok(call) if active_config.is_current(arrived_ms, CONFIG_AGE_MAX_MS) => return Ok(call),
             // No newer configuration can be read now, and none is known to exist. A job still has
             // to be stored to be accepted.
-            Ok(call) if self.is_unavailable() && !active_config.is_outdated() => return Ok(call),
-            _ if self.is_unavailable() => return Err(self.unavailable("the store is away")),
+            Ok(call) if self.is_unavailable(StreamName::Config) && !active_config.is_outdated() => {
+                return Ok(call);
+            }
+            _ if self.is_unavailable(StreamName::Config) => {
+                return Err(self.unavailable(StreamName::Config, "the store is away"));
+            }
             Err(refusal) if active_config.is_current(arrived_ms, REFUSAL_CONFIG_AGE_MAX_MS) => {
                 return Err(refusal);
             }
@@ -92,7 +94,7 @@
                 "config: a check for a call found another version or failed."
             );
         }
-        result.map_err(|reason| self.unavailable(reason))
+        result.map_err(|reason| self.unavailable(StreamName::Config, reason))
     }
 
     /// Returns the version of the configuration in force; 0 before the first one.
@@ -103,7 +105,7 @@
 
     fn config(&self) -> Result<Rc<WorkConfig>, CallRefusal> {
         let config = self.context.active_config.current();
-        config.ok_or_else(|| self.unavailable("no configuration yet"))
+        config.ok_or_else(|| self.unavailable(StreamName::Config, "no configuration yet"))
     }
 
     /// Returns the time since the configuration was last confirmed as the newest, in ms.
@@ -112,13 +114,6 @@
     }
 }
 
-/// Returns how long to work on a call whose caller waits for `timeout_ms`, in ms.
-fn time_budget_ms(timeout_ms: u64) -> u64 {
-    timeout_ms
-        .saturating_sub(ANSWER_RESERVE_MS)
-        .min(CALL_TIME_MAX_MS)
-}
-
 /// Matches the route of a call and checks its key.
 fn authorize(
     config: &WorkConfig,
--- a/src/work/owner_loop/claim.rs
+++ b/src/work/owner_loop/claim.rs
@@ -6,7 +6,8 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::clock::{host_time, steady_ms};
-use crate::work::model::record::{OwnerRecord, RunRow, WorkRecord, decode_run_row};
+use crate::work::model::record::{OwnerRecord, RunRow, WorkRecord, decode_run_row, run_row_key};
+use crate::work::model::speed_record::{SpeedRecord, decode_speed_row};
 use crate::work::model::stream::{
     KeyedValue, StoreCall, StoreFailure, StreamName, StreamRecord, WriterStamp,
 };
@@ -15,6 +16,7 @@
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 use crate::work::state::context::HostContext;
 use crate::work::state::election::next_term;
+use crate::work::state::jobs_view::JobsView;
 use crate::work::store::follow::list_newest;
 
 /// Writer name shared by all owners; a later epoch of it fences earlier ones.
@@ -69,9 +71,9 @@
     let runs = list_runs(context, term).await.map_err(to_report)?;
     // Until its fence, the previous owner may have placed jobs that were accepted after the last read.
     context.refresh_jobs().await.map_err(to_report)?;
-    let reports = list_all(context, StreamName::Upstreams)
-        .await
-        .map_err(to_report)?;
+    // Evacuations that were requested under the previous owner hold from the first start on.
+    let reports = list_all(context, StreamName::Upstreams);
+    let (reports, ()) = tokio::try_join!(reports, context.refresh_config()).map_err(to_report)?;
     install_owner(context, term, &runs, &reports)?;
     Ok(ClaimedTerm { term, fenced_ms })
 }
@@ -117,7 +119,16 @@
     rows: Vec<RunRow>,
 }
 
-/// Returns the stored rows of tasks, sorted by job. Call it only after the fence of this term: from
+/// The rows of the runs stream.
+#[derive(Default)]
+struct StoredRows {
+    /// Rows of tasks, sorted by job.
+    jobs: Vec<StoredRuns>,
+    /// Speeds of upstreams.
+    speeds: Vec<SpeedRecord>,
+}
+
+/// Returns the stored rows. Call it only after the fence of this term: from
 /// then on only this host changes the stream, until a later owner fences it.
 ///
 /// # Errors
@@ -126,8 +137,8 @@
 async fn list_runs<S: StorePort, O, R>(
     context: &HostContext<S, O, R>,
     term: u64,
-) -> Result<Vec<StoredRuns>, StoreFailure> {
-    let mut runs: Vec<StoredRuns> = Vec::new();
+) -> Result<StoredRows, StoreFailure> {
+    let mut runs = StoredRows::default();
     let mut is_own = false;
     for record in list_all(context, StreamName::Runs).await? {
         if record.entry.key == FENCE_KEY {
@@ -137,14 +148,18 @@
         if record.entry.value.is_empty() {
             continue;
         }
+        if let Some(speeds) = decode_speed_row(&record.entry) {
+            runs.speeds.extend(speeds.unwrap_or_default());
+            continue;
+        }
         match decode_run_row(&record.entry) {
-            Ok((job, row)) => add_row(&mut runs, job, row),
+            Ok((job, row)) => add_row(&mut runs.jobs, job, row),
             Err(error) => {
                 log::error!("owner: skipping a row of runs that cannot be decoded: {error}.");
             }
         }
     }
-    for stored in &mut runs {
+    for stored in &mut runs.jobs {
         stored.rows.sort_by_key(|row| row.number);
     }
     match is_own {
@@ -163,10 +178,26 @@
     }
 }
 
+/// Returns the keys of the stored rows of jobs that have been removed since. The owner before died
+/// between the two removals.
+fn orphaned_rows(jobs_view: &JobsView, runs: &[StoredRuns]) -> Vec<String> {
+    let is_removed = |stored: &&StoredRuns| {
+        let job = jobs_view.job(&stored.job);
+        job.is_none_or(|job| job.record.is_none())
+    };
+    let removed = runs.iter().filter(is_removed);
+    let keys = |stored: &StoredRuns| -> Vec<String> {
+        let rows = stored.rows.iter();
+        rows.map(|row| run_row_key(&stored.job, row.number))
+            .collect()
+    };
+    removed.flat_map(keys).collect()
+}
+
 fn install_owner<S: StorePort, O, R: RecordReader>(
     context: &HostContext<S, O, R>,
     term: u64,
-    runs: &[StoredRuns],
+    runs: &StoredRows,
     reports: &[StreamRecord],
 ) -> Result<(), Report> {
     let config = context
@@ -174,15 +205,19 @@
         .current()
         .ok_or_else(|| eyre!("no configuration has been received from the store"))?;
     let mut owner = PoolOwner::new(term, context.identity.timing, config, host_time());
+    owner.set_evacuated(context.evacuations.borrow().evacuated());
     for record in reports {
         if let Some(report) = context.reader.upstream(&record.entry) {
             owner.on_report(report);
         }
     }
+    owner.restore_speeds(&runs.speeds);
+    owner.drop_rows(orphaned_rows(&context.jobs_view.borrow(), &runs.jobs));
     for job in &context.jobs_view.borrow().jobs {
         let Some(record) = &job.record else { continue };
-        let stored = runs.binary_search_by(|run| run.job.cmp(&job.id)).ok();
-        let stored = stored.map_or(&[][..], |index| runs[index].rows.as_slice());
+        let rows = &runs.jobs;
+        let stored = rows.binary_search_by(|run| run.job.cmp(&job.id)).ok();
+        let stored = stored.map_or(&[][..], |index| rows[index].rows.as_slice());
         // A job that is over is kept while any of its runs may still be active.
         if !job.phase.is_over() || !stored.is_empty() {
             owner.add_job(&job.id, Rc::clone(record), job.phase, stored);
--- a/src/work/placing/mod.rs
+++ b/src/work/placing/mod.rs
@@ -3,4 +3,6 @@
 pub mod headroom;
 pub mod locality_wait;
 pub mod placement;
+pub mod remaining;
 pub mod slowdown;
+pub mod speed;
