Keep a step's own runs out of the evidence that its bias rests on

Work that can wait is sent to slow upstreams by the newest evidence, while the bias of its steps rested on older evidence only: the steps were taken for long ones, and the upstreams for ordinary ones.

Change: the bias rests on all evidence but that of the step's own runs in progress; a queue's mean starts firmer. Test of work that is kept on slow upstreams.

--- a/src/work/owner/speeds.rs
+++ b/src/work/owner/speeds.rs
@@ -9,6 +9,7 @@
 use crate::work::placing::speed::bias::LogEstimate;
 use crate::work::placing::speed::curve::EvidenceCurve;
 use crate::work::placing::speed::sample::RunSample;
+use crate::work::placing::speed::table::{StepEvidence, StepKey};
 
 /// Shortest time between two looks at the runs in progress on an upstream, in ms.
 const LIVE_INTERVAL_MS: u64 = 700;
@@ -52,8 +53,8 @@
         self.speeds.set_incarnation(name, incarnation);
     }
 
-    fn live_evidence(&mut self, index: usize) -> EvidenceCurve {
-        let mut evidence = EvidenceCurve::default();
+    fn live_evidence(&mut self, index: usize) -> Vec<StepEvidence> {
+        let mut evidence = Vec::new();
         for held in 0..self.upstreams[index].held.len() {
             let held = &self.upstreams[index].held[held];
             let (unit, member) = (held.unit, held.member);
@@ -65,8 +66,9 @@
             };
             let bias = self.bias_beside(job, unit);
             let members = self.run_upstreams(job, unit);
-            let shown = self.speeds.evidence(sample, &bias, &members, member);
-            evidence = evidence.plus(&shown);
+            let step = self.step_key(job, unit);
+            let curve = self.speeds.evidence(sample, &bias, &step, &members, member);
+            evidence.push(StepEvidence { step, curve });
         }
         evidence
     }
@@ -87,12 +89,13 @@
         state.timed_run = state.run;
         let bias = self.bias_beside(job, unit);
         let members = self.run_upstreams(job, unit);
+        let key = self.step_key(job, unit);
         let shown: Vec<EvidenceCurve> = (0..members.len())
-            .map(|member| self.speeds.evidence(sample, &bias, &members, member))
+            .map(|member| self.speeds.evidence(sample, &bias, &key, &members, member))
             .collect();
         let step = self.jobs[job].shapes[unit].step as usize;
         let settled = self.settled_bias(job, step);
-        let refined = self.speeds.refined_bias(&settled, sample, &members);
+        let refined = self.speeds.refined_bias(&settled, sample, &key, &members);
         self.jobs[job].biases[step].settled = Some(refined);
         for (name, evidence) in members.iter().zip(&shown) {
             self.speeds.settle(name, evidence, now_ms);
@@ -191,6 +194,11 @@
             .collect()
     }
 
+    fn step_key(&self, job: usize, unit: usize) -> StepKey {
+        let state = &self.jobs[job];
+        (state.id.clone(), state.shapes[unit].step)
+    }
+
     fn settled_bias(&self, job: usize, step: usize) -> LogEstimate {
         let state = &self.jobs[job];
         let settled = state.biases[step].settled;
@@ -212,6 +220,7 @@
         {
             return current;
         }
+        let key = self.step_key(job, unit);
         let mut bias = self.settled_bias(job, step);
         for other in 0..self.jobs[job].units.len() {
             let state = &self.jobs[job];
@@ -221,7 +230,7 @@
             }
             if let Some(sample) = self.progress_sample(job, other) {
                 let members = self.run_upstreams(job, other);
-                bias = self.speeds.refined_bias(&bias, sample, &members);
+                bias = self.speeds.refined_bias(&bias, sample, &key, &members);
             }
         }
         let known = &mut self.jobs[job].biases[step];
--- a/src/work/placing/speed/bias.rs
+++ b/src/work/placing/speed/bias.rs
@@ -3,7 +3,7 @@
 use crate::tables::name::ObjectName;
 
 /// Deviation of a queue's bias before anything of it is known.
-const QUEUE_DEVIATION: f64 = 0.15;
+const QUEUE_DEVIATION: f64 = 0.06;
 /// Deviation of the steps of a queue that nothing is known about.
 const STEP_DEVIATION: f64 = 0.3;
 /// Number of steps that this assumption counts for.
--- a/src/work/placing/speed/table.rs
+++ b/src/work/placing/speed/table.rs
@@ -24,6 +24,18 @@
 /// Queues whose bias is kept; those seen first.
 const QUEUES_MAX: usize = 256;
 
+/// A step of a job.
+pub type StepKey = (ObjectName, u32);
+
+/// What the runs in progress of one step show of an upstream.
+#[derive(Clone, Debug)]
+pub struct StepEvidence {
+    /// The step.
+    pub step: StepKey,
+    /// What one of its runs shows.
+    pub curve: EvidenceCurve,
+}
+
 /// What is known of one upstream.
 #[derive(Clone, Debug)]
 struct UpstreamSpeed {
@@ -35,11 +47,9 @@
     /// When `settled` changed last, steady ms.
     settled_ms: u64,
     /// Evidence of the runs in progress.
-    live: EvidenceCurve,
+    live: Vec<StepEvidence>,
     /// Slowness by `settled` alone.
-    before: SlownessDistribution,
-    /// Its mean and deviation.
-    slowdown_before: UpstreamSlowdown,
+    slowdown_settled: UpstreamSlowdown,
     /// Slowness by all evidence.
     slowdown: UpstreamSlowdown,
     /// Slowness by `settled` when it was stored last.
@@ -48,16 +58,23 @@
 
 impl UpstreamSpeed {
     fn estimate(&mut self, classes: &SlownessDistribution) {
-        self.before = self.settled.applied_to(classes);
-        self.slowdown_before = self.before.slowdown();
-        let all = self.settled.updated_by(&self.live);
-        self.slowdown = all.applied_to(classes).slowdown();
+        self.slowdown_settled = self.settled.applied_to(classes).slowdown();
+        self.slowdown = self.evidence(None).applied_to(classes).slowdown();
+    }
+
+    /// Returns the evidence of all runs but those in progress of one step. A step's bias must not
+    /// rest on what its own runs were taken to show; nor on older runs only, since its upstreams
+    /// may have been chosen by the newer ones.
+    fn evidence(&self, without: Option<&StepKey>) -> EvidenceCurve {
+        let others = self.live.iter().filter(|one| Some(&one.step) != without);
+        let live = others.fold(EvidenceCurve::default(), |sum, one| sum.plus(&one.curve));
+        self.settled.updated_by(&live)
     }
 }
 
 impl UpstreamSpeed {
     fn is_outdated(&self) -> bool {
-        let (now, stored) = (self.slowdown_before, self.stored);
+        let (now, stored) = (self.slowdown_settled, self.stored);
         let moved = (now.log_mean() - stored.log_mean()).abs() > STORED_MEAN_TOLERANCE;
         let narrowed = stored.deviation() - now.deviation() > STORED_DEVIATION_TOLERANCE;
         self.settled.weight() >= EVIDENCE_MIN && (moved || narrowed)
@@ -111,12 +128,10 @@
         &self,
         bias: &LogEstimate,
         sample: RunSample,
+        step: &StepKey,
         members: &[ObjectName],
     ) -> LogEstimate {
-        let slowest = match members {
-            [only] => self.slowdown_before(only),
-            _ => self.slowest(members).slowdown(),
-        };
+        let slowest = self.slowest(step, members).slowdown();
         let variance = sample.variance + slowest.deviation().powi(2);
         bias.with(sample.log_ratio - slowest.log_mean(), variance)
     }
@@ -126,6 +141,7 @@
         &self,
         sample: RunSample,
         bias: &LogEstimate,
+        step: &StepKey,
         members: &[ObjectName],
         member: usize,
     ) -> EvidenceCurve {
@@ -134,7 +150,7 @@
         }
         let mut others = members.to_vec();
         others.swap_remove(member);
-        EvidenceCurve::of_run(sample, bias, Some(&self.slowest(&others)))
+        EvidenceCurve::of_run(sample, bias, Some(&self.slowest(step, &others)))
     }
 
     /// Adds the evidence of a run that has ended.
@@ -149,7 +165,7 @@
     }
 
     /// Replaces the evidence of the runs in progress on an upstream.
-    pub fn set_live(&mut self, name: &ObjectName, evidence: EvidenceCurve) {
+    pub fn set_live(&mut self, name: &ObjectName, evidence: Vec<StepEvidence>) {
         let classes = self.classes.clone();
         let row = self.row(name);
         row.live = evidence;
@@ -192,7 +208,7 @@
         let assumed = SlownessDistribution::default();
         let mut shares = assumed.0.map(|share| CLASSES_WEIGHT * f64::from(share));
         for row in &self.upstreams {
-            let all = row.settled.updated_by(&row.live);
+            let all = row.evidence(None);
             if all.weight() >= EVIDENCE_MIN {
                 let own = all.applied_to(&self.classes);
                 (0..CELLS).for_each(|cell| shares[cell] += f64::from(own.0[cell]));
@@ -226,7 +242,7 @@
             if speed_row_number(&row.name) != number {
                 continue;
             }
-            row.stored = row.slowdown_before;
+            row.stored = row.slowdown_settled;
             if row.settled.weight() >= EVIDENCE_MIN {
                 records.push(SpeedRecord {
                     name: row.name.clone(),
@@ -253,30 +269,26 @@
             .for_each(|row| row.estimate(&classes));
     }
 
-    /// Returns the distribution of the slowest of several upstreams, by runs that have ended.
-    fn slowest(&self, members: &[ObjectName]) -> SlownessDistribution {
+    /// Returns the distribution of the slowest of several upstreams, by all runs but those in
+    /// progress of one step.
+    fn slowest(&self, step: &StepKey, members: &[ObjectName]) -> SlownessDistribution {
         if let [only] = members {
-            return self.before(only).clone();
+            return self.without(step, only);
         }
         let mut sum = [0.0; CELLS];
         for member in members {
-            let logs = self.before(member).log_cumulative();
+            let logs = self.without(step, member).log_cumulative();
             (0..CELLS).for_each(|cell| sum[cell] += logs[cell]);
         }
         SlownessDistribution::of_largest(&sum)
     }
 
-    fn slowdown_before(&self, name: &ObjectName) -> UpstreamSlowdown {
-        match self.find(name) {
-            Ok(index) => self.upstreams[index].slowdown_before,
-            Err(_) => self.classes.slowdown(),
-        }
-    }
-
-    fn before(&self, name: &ObjectName) -> &SlownessDistribution {
+    fn without(&self, step: &StepKey, name: &ObjectName) -> SlownessDistribution {
         match self.find(name) {
-            Ok(index) => &self.upstreams[index].before,
-            Err(_) => &self.classes,
+            Ok(index) => self.upstreams[index]
+                .evidence(Some(step))
+                .applied_to(&self.classes),
+            Err(_) => self.classes.clone(),
         }
     }
 
@@ -293,9 +305,8 @@
                     incarnation: 0,
                     settled: EvidenceCurve::default(),
                     settled_ms: 0,
-                    live: EvidenceCurve::default(),
-                    before: self.classes.clone(),
-                    slowdown_before: self.classes.slowdown(),
+                    live: Vec::new(),
+                    slowdown_settled: self.classes.slowdown(),
                     slowdown: self.classes.slowdown(),
                     stored: SlownessDistribution::default().slowdown(),
                 };
--- a/tests/upstream_speed.rs
+++ b/tests/upstream_speed.rs
@@ -87,9 +87,10 @@
 
     fn end(&mut self, unit: &[usize], sample: RunSample, bias: &LogEstimate) -> LogEstimate {
         let members: Vec<ObjectName> = unit.iter().map(|&one| self.names[one].clone()).collect();
-        let refined = self.table.refined_bias(bias, sample, &members);
+        let step = (name("job"), 0);
+        let refined = self.table.refined_bias(bias, sample, &step, &members);
         let shown: Vec<_> = (0..members.len())
-            .map(|member| self.table.evidence(sample, bias, &members, member))
+            .map(|member| self.table.evidence(sample, bias, &step, &members, member))
             .collect();
         for (member, evidence) in members.iter().zip(&shown) {
             self.table.settle(member, evidence, self.now_ms);
@@ -143,6 +144,34 @@
     );
 }
 
+/// Load: work that can wait runs on slow upstreams only, because they are known to be slow. Its steps
+/// must not be taken for long ones, nor these upstreams for ordinary ones.
+#[test]
+fn work_kept_on_slow_upstreams_does_not_hide_them() {
+    let speeds = [0.6, 1.0, 1.6];
+    let mut replay = Replay::new((0..90).map(|one| 1.0 / speeds[one % 3]));
+    let limit = SlowdownLimit::new(1_400, 1_000).expect("a limit");
+    for _ in 0..40 {
+        let mut order: Vec<usize> = (0..90).collect();
+        order.sort_by(|&left, &right| {
+            let late = |one| replay.slowdown(one).late_share(limit);
+            late(right).total_cmp(&late(left))
+        });
+        replay.run(false, &order[..24], 0.2);
+        replay.run(true, &order[84..], 0.2);
+        let any = replay.pick(4);
+        replay.run(true, &any, 0.2);
+    }
+    // Those on which nothing has run are unknown, not hidden.
+    let hidden = (0..90).filter(|&one| {
+        let slowdown = replay.slowdown(one);
+        let is_known = slowdown.deviation() < 0.4;
+        replay.truth[one] > 1.4 && is_known && slowdown.late_share(limit) < 0.25
+    });
+    let hidden: Vec<UpstreamSlowdown> = hidden.map(|one| replay.slowdown(one)).collect();
+    assert!(hidden.len() <= 4, "slow ones not seen: {hidden:?}");
+}
+
 /// Load: a pool whose upstreams are alike, with few runs of tasks that differ. None may be taken for
 /// slow, nor an unknown one avoided.
 #[test]
