--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -8,9 +8,11 @@
 pub mod crash_history;
 mod crashes;
 mod ends;
+pub mod failure_ledger;
 mod fencing;
 pub mod job_state;
 mod loss_proof;
+mod placed_speed;
 mod placement_pool;
 pub mod planning;
 mod preemption;
@@ -21,6 +23,9 @@
 mod restore;
 mod row_records;
 mod run_ends;
+mod speeds;
+pub mod start_gate;
+pub mod step_bias;
 pub mod task_rows;
 mod team_usage;
 mod timing;
@@ -37,13 +42,16 @@
 use crate::tables::name::ObjectName;
 use crate::work::clock::{ClockReading, HostTime, drift_safe_wait_ms};
 use crate::work::model::config::WorkConfig;
+use crate::work::model::evacuation::EvacuatedDomains;
 use crate::work::model::record::JobPhase;
 use crate::work::model::stream::KeyedValue;
 use crate::work::model::upstream::{RenewOrder, StartOrder, StopOrder, UpstreamReport};
+use crate::work::owner::failure_ledger::FailureLedger;
 use crate::work::owner::job_state::JobState;
 use crate::work::owner::loss_proof::LossProof;
 use crate::work::owner::unit_state::{MemberPhase, UnitPhase};
 use crate::work::owner::upstream_state::{LEASE_EXPIRY_MARGIN_MS, UpstreamState};
+use crate::work::placing::speed::table::SpeedTable;
 
 /// Longest time between two placement rounds, in ms.
 const PLACEMENT_INTERVAL_MAX_MS: u64 = 250;
@@ -71,8 +79,10 @@
     term: u64,
     timing: OwnerTiming,
     config: Rc<WorkConfig>,
+    evacuated: EvacuatedDomains,
     jobs: Vec<JobState>,
     upstreams: Vec<UpstreamState>,
+    failures: FailureLedger,
     pending_starts: VecDeque<PendingStart>,
     ready: Vec<UpstreamOrder>,
     batch: u64,
@@ -90,6 +100,9 @@
     /// Time of the next scan of all members for unanswered orders, steady ms.
     next_order_scan_ms: u64,
     superseded: bool,
+    speeds: SpeedTable,
+    /// Earliest time of the next stored speeds, steady ms.
+    next_speed_rows_ms: u64,
     /// Latest time until which leases granted by earlier owners may last, steady ms.
     prior_leases_expire_ms: u64,
 }
@@ -104,8 +117,10 @@
             term,
             timing,
             config,
+            evacuated: EvacuatedDomains::default(),
             jobs: Vec::new(),
             upstreams: Vec::new(),
+            failures: FailureLedger::default(),
             pending_starts: VecDeque::new(),
             ready: Vec::new(),
             batch: 1,
@@ -119,6 +134,8 @@
             last_placement_ms: 0,
             next_order_scan_ms: 0,
             superseded: false,
+            speeds: SpeedTable::default(),
+            next_speed_rows_ms: 0,
             prior_leases_expire_ms: now.steady_ms + prior_leases_ms,
         }
     }
@@ -154,6 +171,12 @@
         self.placement_due = true;
     }
 
+    /// Sets the evacuated failure domains: no start goes there from now on, however old its decision.
+    pub fn set_evacuated(&mut self, evacuated: EvacuatedDomains) {
+        self.evacuated = evacuated;
+        self.placement_due = true;
+    }
+
     fn stop_job(&mut self, job: usize) {
         for unit in 0..self.jobs[job].units.len() {
             self.stop_unit(job, unit);
@@ -269,6 +292,7 @@
             );
         }
         let life = upstream.life();
+        self.speeds.set_incarnation(name, incarnation);
         self.resolve_losses(&life);
     }
 
@@ -306,7 +330,7 @@
         self.note_lost_run(job, unit, member);
         self.clear_member(job, unit, member);
         self.stop_unit(job, unit);
-        self.give_up_crashing(job);
+        self.report_suspects(job);
     }
 
     /// Stops the remaining members of a unit's run; the unit waits again once none is placed.
@@ -345,6 +369,7 @@
             "owner: a job has reached a phase."
         );
         if phase.is_over() {
+            self.learn_queue_bias(job);
             self.stop_job(job);
         }
     }
@@ -354,6 +379,7 @@
         self.now = now;
         self.expire_silent_leases();
         let passed_ms = now.steady_ms.saturating_sub(self.last_placement_ms);
+        self.keep_speeds();
         if passed_ms >= PLACEMENT_INTERVAL_MAX_MS
             || (self.placement_due && passed_ms >= PLACEMENT_INTERVAL_MIN_MS)
         {
--- a/src/work/owner/run_ends.rs
+++ b/src/work/owner/run_ends.rs
@@ -96,10 +96,8 @@
 
     fn member_left_ms(&self, job: usize, unit: usize, member: &MemberState) -> u64 {
         let upstream = member.upstream.as_ref();
-        let index = upstream.and_then(|name| self.upstream_index(name));
-        let slowdown = index.map_or_else(UpstreamSlowdown::default, |index| {
-            self.upstreams[index].slowdown
-        });
+        let slowdown =
+            upstream.map_or_else(UpstreamSlowdown::default, |name| self.speeds.slowdown(name));
         let resumed = !self.jobs[job].units[unit].resumed.is_empty();
         let progress = (member.began_ms > 0).then(|| TaskProgress {
             percent: member.percent,
