--- a/src/work/host.rs
+++ b/src/work/host.rs
@@ -4,10 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
-
+use crate::tables::name::ObjectName;
 use crate::work::calls::job_service::JobService;
 use crate::work::clock::steady_ms;
+use crate::work::intake::listener::GuardedListener;
 use crate::work::model::record::{HostRecord, WorkRecord};
 use crate::work::model::stream::{KeyedValue, StoreCall, StoreFailure, StreamName, StreamRecord};
 use crate::work::owner_loop::run_owner_loop;
@@ -42,7 +42,7 @@
         store: S,
         orders: O,
         reader: R,
-        listener: TcpListener,
+        listener: impl Into<GuardedListener>,
         address: SocketAddr,
         seeds: &[SocketAddr],
     ) -> Self {
@@ -135,12 +135,12 @@
 
 fn spawn_peers<S: StorePort, O: OrderPort, R: RecordReader>(
     context: &Rc<HostContext<S, O, R>>,
-    listener: TcpListener,
+    listener: impl Into<GuardedListener>,
 ) {
     let service = HostService {
         context: Rc::clone(context),
     };
-    tokio::task::spawn_local(serve_peers(listener, Rc::new(service)));
+    tokio::task::spawn_local(serve_peers(listener.into(), Rc::new(service)));
 }
 
 /// Serves the calls of peers on this host.
@@ -156,6 +156,11 @@
         (!store.is_direct_path_down()).then(|| store.direct().clone())
     }
 
+    /// The largest append that the store takes, twice over: what surrounds its records is smaller.
+    fn message_max_bytes(&self) -> usize {
+        self.context.identity.limits.request_bytes.saturating_mul(2)
+    }
+
     async fn record(&self, entry: KeyedValue) -> Result<(), StoreFailure> {
         self.context.group_commit.record(entry).await
     }
@@ -169,6 +174,7 @@
     };
     let config = ConfigSink {
         context: Rc::clone(context),
+        listing: None,
     };
     let store = context.store.clone();
     tokio::task::spawn_local(StreamFollower::new(store.clone(), StreamName::Jobs, jobs).run());
@@ -216,17 +222,30 @@
     }
 }
 
-/// Applies the stream of configurations to the host's state.
+/// Applies the stream of configurations and evacuations to the host's state.
 struct ConfigSink<S, O, R> {
     context: Rc<HostContext<S, O, R>>,
+    /// Failure domains with requests in the current listing; none outside a listing.
+    listing: Option<Vec<ObjectName>>,
 }
 
 impl<S: StorePort, O: OrderPort, R: RecordReader> StreamSink for ConfigSink<S, O, R> {
+    fn begin_listing(&mut self) {
+        self.listing = Some(Vec::new());
+    }
+
     fn apply(&mut self, records: &[StreamRecord]) {
         self.context.apply_configs(records);
+        if let Some(listing) = &mut self.listing {
+            listing.extend(self.context.listed_evacuations(records));
+        }
     }
 
     fn on_reply(&mut self, reply: FollowReply) {
+        // The first answer after the pages of a listing names the offset that it shows.
+        if let Some(listing) = self.listing.take() {
+            self.context.end_config_listing(&listing, reply.next);
+        }
         if reply.at_end {
             self.context.active_config.mark_confirmed(reply.asked_ms);
         }
--- a/src/work/model/mod.rs
+++ b/src/work/model/mod.rs
@@ -3,8 +3,10 @@
 pub mod amount;
 pub mod config;
 pub mod crash_record;
+pub mod evacuation;
 pub mod record;
 pub mod spec;
+pub mod speed_record;
 pub mod stream;
 pub mod task_ref;
 pub mod upstream;
--- a/src/work/model/spec.rs
+++ b/src/work/model/spec.rs
@@ -102,18 +102,18 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
-    /// Returns the estimated run time of the longest chain of steps that wait for this one, in ms.
-    pub fn path_after_ms(&self, step: usize) -> u64 {
-        let mut after = vec![0; self.steps.len()];
-        for (index, later) in self.steps.iter().enumerate().rev() {
-            let chain_ms = after[index] + later.estimate_ms;
-            for &before in &later.after {
-                if let Some(slot) = after.get_mut(before as usize) {
-                    *slot = chain_ms.max(*slot);
-                }
+    /// Returns the estimated run time of the longest chain that begins with a step, in ms.
+    pub fn path_from_ms(&self, step: usize) -> u64 {
+        let mut longest = vec![0; self.steps.len()];
+        for index in (step..self.steps.len()).rev() {
+            longest[index] += self.steps[index].estimate_ms;
+            let path_ms = longest[index];
+            for &before in &self.steps[index].after {
+                let before = &mut longest[before as usize];
+                *before = path_ms.max(*before);
             }
         }
-        after.get(step).copied().unwrap_or(0)
+        longest[step]
     }
 
     /// Returns the number of accelerators that the tasks of the first step need together.
--- a/src/work/owner/preemption.rs
+++ b/src/work/owner/preemption.rs
@@ -249,7 +249,9 @@
             return None;
         }
         let step_index = state.shapes[unit].step as usize;
-        let needed_ms = self.run_left_ms(job, unit) + state.record.spec.path_after_ms(step_index);
+        let path_ms = state.record.spec.path_from_ms(step_index);
+        let after_ms = path_ms.saturating_sub(step.estimate_ms);
+        let needed_ms = self.run_left_ms(job, unit) + after_ms;
         let running = RunningUnit {
             outlook: self.unit_outlook(job, unit, needed_ms),
             worked_ms: self.worked_ms(job, unit),
