--- a/src/work/load/room_choice.rs
+++ b/src/work/load/room_choice.rs
@@ -17,7 +17,7 @@
     Wait,
 }
 
-/// The two ways to room for a unit that does not fit.
+/// The two ways to get room for a unit that does not fit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RoomOptions {
     /// The unit's prospects.
@@ -27,8 +27,9 @@
     /// Time after which runs that end by themselves leave enough room, in ms; `None` if they do not
     /// within its slack.
     pub ends_ms: Option<u64>,
-    /// Cost of the cheapest displacement, as `RunningUnit::displacement_cost` gives it.
-    pub displacement_cost: u64,
+    /// Cost of the cheapest displacement, as `RunningUnit::displacement_cost` gives it; `None` if
+    /// none leaves enough room.
+    pub displacement_cost: Option<u64>,
     /// Longest time that the displacement takes, in ms.
     pub stop_ms: u64,
 }
@@ -36,10 +37,13 @@
 impl RoomOptions {
     /// Chooses what costs callers less. A guarantee is kept whatever it costs.
     pub fn choose(&self) -> RoomChoice {
+        let Some(displacement_cost) = self.displacement_cost else {
+            return RoomChoice::Wait;
+        };
         if self.guaranteed {
             return RoomChoice::Displace;
         }
-        let displaced = self.outlook.delay_cost(self.stop_ms) + self.displacement_cost;
+        let displaced = self.outlook.delay_cost(self.stop_ms) + displacement_cost;
         match displaced < self.outlook.delay_cost(self.wait_ms()) {
             true => RoomChoice::Displace,
             false => RoomChoice::Wait,
--- a/src/work/owner/preemption.rs
+++ b/src/work/owner/preemption.rs
@@ -95,20 +95,19 @@
         let running = self.running_victims(blocked, pool);
         let victims: Vec<&VictimUnit> = running.iter().map(|one| &one.victim).collect();
         let chosen = choose_victims(blocked.demand, &blocked.claim, after_stops, &victims);
-        let chosen = chosen.unwrap_or_default();
+        let cost_of = |chosen: &Vec<usize>| chosen.iter().map(|&one| victims[one].lost_work).sum();
         let ends = self.next_ends(blocked, pool);
         let options = RoomOptions {
             outlook: blocked.outlook,
             guaranteed: blocked.waiting.guaranteed,
             ends_ms: ends.as_ref().map(|ends| ends.after_ms),
-            displacement_cost: chosen.iter().map(|&one| victims[one].lost_work).sum(),
+            displacement_cost: chosen.as_ref().map(cost_of),
             stop_ms: self.timing.stop_ms,
         };
-        let choice = options.choose();
-        if choice == RoomChoice::Displace {
-            if !chosen.is_empty() {
-                self.preempt(blocked, pool, &running, &chosen);
-            }
+        if let Some(chosen) = chosen
+            && options.choose() == RoomChoice::Displace
+        {
+            self.preempt(blocked, pool, &running, &chosen);
             return true;
         }
         self.log_choice(blocked, &options);
@@ -124,7 +123,7 @@
             target: LOG_TARGET,
             job = blocked.claim.job.as_str(), unit = blocked.claim.unit,
             slack_ms = options.outlook.slack_ms, ends_ms = options.ends_ms,
-            displacement_cost = options.displacement_cost / MILLICORE_MS_PER_CORE_S;
+            cost = options.displacement_cost.map(|cost| cost / MILLICORE_MS_PER_CORE_S);
             "owner: a unit waits rather than displace others."
         );
     }
--- a/src/work/owner/team_usage.rs
+++ b/src/work/owner/team_usage.rs
@@ -50,9 +50,12 @@
             };
             (row.team, holding.level(accelerators, open))
         };
-        TeamShares {
-            levels: teams.into_iter().map(level).collect(),
-        }
+        let levels: Vec<_> = teams.into_iter().map(level).collect();
+        let above = levels
+            .iter()
+            .filter(|(_, level)| *level > ShareLevel::Within);
+        metrics::gauge!("hemlockramp_teams_above_share").set(above.count() as f64);
+        TeamShares { levels }
     }
 
     /// Returns the usage of each team's urgent jobs, sorted by team.
--- a/tests/room_decisions.rs
+++ b/tests/room_decisions.rs
@@ -147,7 +147,7 @@
         outlook: URGENT,
         guaranteed: false,
         ends_ms: None,
-        displacement_cost: 10 * CORE_SECOND,
+        displacement_cost: Some(10 * CORE_SECOND),
         stop_ms: STOP_MS,
     };
     let cases = [
@@ -159,7 +159,7 @@
         ChoiceCase {
             what: "a wide gang loses more than the unit is worth",
             options: RoomOptions {
-                displacement_cost: 1_000 * CORE_SECOND,
+                displacement_cost: Some(1_000 * CORE_SECOND),
                 ..plain
             },
             choice: RoomChoice::Wait,
@@ -168,11 +168,19 @@
             what: "a guarantee is kept whatever it costs",
             options: RoomOptions {
                 guaranteed: true,
-                displacement_cost: 1_000 * CORE_SECOND,
+                displacement_cost: Some(1_000 * CORE_SECOND),
                 ..plain
             },
             choice: RoomChoice::Displace,
         },
+        ChoiceCase {
+            what: "no displacement leaves enough room",
+            options: RoomOptions {
+                displacement_cost: None,
+                ..plain
+            },
+            choice: RoomChoice::Wait,
+        },
         ChoiceCase {
             what: "room comes free as soon as a stop would free it",
             options: RoomOptions {
@@ -196,7 +204,7 @@
                     slack_ms: -9_000,
                     ..URGENT
                 },
-                displacement_cost: 1,
+                displacement_cost: Some(1),
                 ..plain
             },
             choice: RoomChoice::Wait,
@@ -206,7 +214,7 @@
             options: RoomOptions {
                 outlook: BATCH,
                 ends_ms: Some(4_000),
-                displacement_cost: 1,
+                displacement_cost: Some(1),
                 ..plain
             },
             choice: RoomChoice::Wait,
