Save or move work before its upstream leaves

Work on an upstream that is taken away was lost with it, its gang too, and started again only when the leases were over.

departure decides from remainingMs, the time that a unit still needs, the time that it has worked and whether a stop saves that: what ends in time stays, what saves its progress is stopped at the last moment, other work moves at once if it fits elsewhere and has little to lose.

--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -7,6 +7,7 @@
 pub mod cancel;
 pub mod crash_history;
 mod crashes;
+mod departures;
 mod ends;
 pub mod failure_ledger;
 mod fencing;
@@ -97,6 +98,8 @@
     last_placement_ms: u64,
     /// Time of the next scan of all members for unanswered orders, steady ms.
     next_order_scan_ms: u64,
+    /// Time of the next look at the upstreams that leave, steady ms.
+    next_departure_ms: u64,
     superseded: bool,
     speeds: SpeedTable,
     /// Earliest time of the next stored speeds, steady ms.
@@ -131,6 +134,7 @@
             placement_due: true,
             last_placement_ms: 0,
             next_order_scan_ms: 0,
+            next_departure_ms: 0,
             superseded: false,
             speeds: SpeedTable::default(),
             next_speed_rows_ms: 0,
@@ -376,6 +380,7 @@
     pub fn tick(&mut self, now: HostTime) {
         self.now = now;
         self.expire_silent_leases();
+        self.leave_departing();
         let passed_ms = now.steady_ms.saturating_sub(self.last_placement_ms);
         self.keep_speeds();
         if passed_ms >= PLACEMENT_INTERVAL_MAX_MS
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -119,7 +119,7 @@
         found
     }
 
-    fn waiting_unit(&self, job: usize, unit: usize, teams: &[TeamUsage]) -> WaitingUnit {
+    pub(super) fn waiting_unit(&self, job: usize, unit: usize, teams: &[TeamUsage]) -> WaitingUnit {
         if self.jobs[job].step(unit).lasting {
             return self.waiting_lasting_unit(job, unit, teams);
         }
@@ -164,7 +164,7 @@
         }
     }
 
-    fn placement_pool(&self, pool: &ObjectName) -> PlacementPool {
+    pub(super) fn placement_pool(&self, pool: &ObjectName) -> PlacementPool {
         let now_ms = self.now.steady_ms;
         let mut result = PlacementPool {
             name: pool.clone(),
@@ -203,7 +203,7 @@
         result
     }
 
-    fn demand(
+    pub(super) fn demand(
         &self,
         job: usize,
         unit: usize,
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -55,6 +55,7 @@
     order: StartOrder,
     begun_ms: u64,
     left_ms: u64,
+    worked_ms: u64,
     stopping_ms: Option<u64>,
 }
 
@@ -67,6 +68,8 @@
     pub domain: ObjectName,
     /// Whether it reports that it is about to leave.
     pub draining: bool,
+    /// When it leaves, as it tells in advance; none if it stays.
+    pub leaves_ms: Option<u64>,
     pub capacity: ResourceAmount,
     pub incarnation: u64,
     clock_ms: u64,
@@ -217,6 +220,8 @@
     pub hopeless_jobs: Vec<ObjectName>,
     /// Upstreams, by index, on which all runs end as failed.
     pub broken_upstreams: Vec<usize>,
+    /// Whether upstreams show the progress of runs; otherwise each is half done.
+    pub shows_progress: bool,
     /// Drops job phases instead of storing them while set.
     pub drop_phase_updates: bool,
     /// Whether a change of owner leaves the first rows of a batch in flight in the store.
@@ -255,6 +260,7 @@
             rack: name(&format!("r{}", index / RACK_SIZE)),
             domain: name("domain"),
             draining: false,
+            leaves_ms: None,
             capacity,
             incarnation: 1,
             clock_ms: 500_000,
@@ -290,6 +296,7 @@
             },
             hopeless_jobs: Vec::new(),
             broken_upstreams: Vec::new(),
+            shows_progress: false,
             drop_phase_updates: false,
             stores_first_rows: false,
             term: 0,
@@ -397,7 +404,7 @@
         self.upstreams
             .iter()
             .filter(reachable)
-            .map(report)
+            .map(|one| report(one, self.now_ms))
             .collect()
     }
 
@@ -502,6 +509,7 @@
         self.now_ms += STEP_MS;
         self.revive_upstreams();
         self.crash_upstreams();
+        self.remove_leaving();
         self.advance_upstreams();
         self.execute_due_orders();
         self.finish_half_answers();
@@ -525,6 +533,16 @@
         }
     }
 
+    /// Takes away the upstreams whose notice is over.
+    fn remove_leaving(&mut self) {
+        for index in 0..self.upstreams.len() {
+            let leaves_ms = self.upstreams[index].leaves_ms;
+            if leaves_ms.is_some_and(|at_ms| at_ms <= self.now_ms) && !self.upstreams[index].dead {
+                self.crash(index, false);
+            }
+        }
+    }
+
     fn revive_upstreams(&mut self) {
         let renamed = self.crash_course.renamed;
         for upstream in &mut self.upstreams {
@@ -768,7 +786,8 @@
         let hides = self.listing.hides_stopping;
         let runs = self.upstreams[index].runs.iter();
         let listed = runs.filter(|run| !hides || run.stopping_ms.is_none());
-        listed.map(running_row).collect()
+        let shown = listed.map(|run| running_row(run, self.shows_progress));
+        shown.collect()
     }
 
     fn listed_ended(&self, index: usize) -> Vec<EndedTask> {
@@ -845,6 +864,7 @@
             order: order.clone(),
             begun_ms: self.now_ms,
             left_ms: if stalled { u64::MAX } else { left_ms },
+            worked_ms: 0,
             stopping_ms: None,
         });
         let (run, token) = (order.run, order.target.fencing_token);
@@ -965,6 +985,7 @@
             let runs = std::mem::take(&mut self.upstreams[index].runs);
             for mut run in runs {
                 run.left_ms = run.left_ms.saturating_sub(STEP_MS);
+                run.worked_ms += STEP_MS;
                 run.stopping_ms = run.stopping_ms.map(|left| left.saturating_sub(STEP_MS));
                 let kind = match run.stopping_ms {
                     _ if lapsed => Some(EndKind::Lapsed),
@@ -1083,7 +1104,7 @@
 
     /// Returns an upstream's report.
     pub fn report_of(&self, index: usize) -> UpstreamReport {
-        report(&self.upstreams[index])
+        report(&self.upstreams[index], self.now_ms)
     }
 
     /// Passes a report to the owner.
@@ -1118,16 +1139,21 @@
     }
 }
 
-fn running_row(run: &SimRun) -> RunningTask {
+fn running_row(run: &SimRun, shows_progress: bool) -> RunningTask {
+    let total_ms = run.worked_ms + run.left_ms.min(u32::MAX.into());
+    let percent = match shows_progress {
+        true => (100 * run.worked_ms / total_ms.max(1)) as u32,
+        false => 50,
+    };
     RunningTask {
         task: run.order.task.clone(),
         run: run.order.run,
         checkpoint: Arc::from(""),
-        percent: 50,
+        percent,
     }
 }
 
-fn report(upstream: &SimUpstream) -> UpstreamReport {
+fn report(upstream: &SimUpstream, now_ms: u64) -> UpstreamReport {
     UpstreamReport {
         name: upstream.name.clone(),
         pool: name("pool"),
@@ -1136,8 +1162,10 @@
         rack: Some(upstream.rack.clone()),
         labels: vec![name("kind"), upstream.rack.clone()],
         capacity: upstream.capacity,
-        draining: upstream.draining,
-        remaining_ms: None,
+        draining: upstream.draining || upstream.leaves_ms.is_some(),
+        remaining_ms: upstream
+            .leaves_ms
+            .map(|leaves_ms| leaves_ms.saturating_sub(now_ms)),
         clock_ms: upstream.clock_ms,
         incarnation: upstream.incarnation,
     }
