--- a/src/work/load/departure.rs
+++ b/src/work/load/departure.rs
@@ -7,6 +7,9 @@
 /// Time for the order to stop a run, the list of its end and the record of that, in ms.
 const SAVE_MARGIN_MS: u64 = 700;
 
+/// Part of the time still needed by which it may be overestimated, in thousandths.
+const NEEDS_ERROR_MILLI: u64 = 250;
+
 /// A unit at work with members on upstreams that leave.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DepartingUnit {
@@ -55,8 +58,8 @@
 /// the answer matters.
 ///
 /// Work that saves its progress is stopped at the last moment, also without room elsewhere: it loses
-/// nothing, and need not be waited for in silence. Other work moves early, as long as it has little to
-/// lose: about as many upstreams leave when they may as stay on, so a loss, which costs what was worked
+/// nothing, and need not be waited for in silence. Other work moves early, as long as it clearly does
+/// not end in time and has little to lose: about as many upstreams leave when they may as stay on, so a loss, which costs what was worked
 /// by then and the silence after it, is weighed at one half.
 pub fn departure_step(
     unit: &DepartingUnit,
@@ -72,6 +75,10 @@
             false => DepartureStep::Stay,
         };
     }
+    let surely_needs_ms = unit.needs_ms - unit.needs_ms * NEEDS_ERROR_MILLI / 1_000;
+    if surely_needs_ms <= unit.stays_ms {
+        return DepartureStep::Stay;
+    }
     let loss_ms = unit.worked_ms + unit.stays_ms + limits.silence_ms;
     match unit.worked_ms <= loss_ms / 2 && has_room() {
         true => DepartureStep::Move,
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -60,6 +60,13 @@
             true,
             DepartureStep::Move,
         ),
+        row(
+            "may end in time",
+            (5_000, 5_400, 500),
+            false,
+            true,
+            DepartureStep::Stay,
+        ),
         row(
             "no room",
             (5_500, 8_000, 500),
