--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -86,7 +86,7 @@
         }
     }
 
-    fn placement_pool(&self, pool: &ObjectName) -> PlacementPool {
+    pub(super) fn placement_pool(&self, pool: &ObjectName) -> PlacementPool {
         let now_ms = self.now.steady_ms;
         let mut result = PlacementPool {
             name: pool.clone(),
@@ -125,7 +125,7 @@
         result
     }
 
-    fn demand(
+    pub(super) fn demand(
         &self,
         job: usize,
         unit: usize,
--- a/src/work/owner/waiting.rs
+++ b/src/work/owner/waiting.rs
@@ -40,7 +40,8 @@
         found
     }
 
-    fn waiting_unit(&self, job: usize, unit: usize, teams: &[TeamUsage]) -> WaitingUnit {
+    /// Returns the properties of a unit that waits or would wait.
+    pub(super) fn waiting_unit(&self, job: usize, unit: usize, teams: &[TeamUsage]) -> WaitingUnit {
         if self.jobs[job].step(unit).lasting {
             return self.waiting_lasting_unit(job, unit, teams);
         }
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -67,6 +67,8 @@
     pub domain: ObjectName,
     /// Whether it reports that it is about to leave.
     pub draining: bool,
+    /// When it leaves, as it tells in advance; none if it stays.
+    pub leaves_ms: Option<u64>,
     pub capacity: ResourceAmount,
     pub incarnation: u64,
     clock_ms: u64,
@@ -255,6 +257,7 @@
             rack: name(&format!("r{}", index / RACK_SIZE)),
             domain: name("domain"),
             draining: false,
+            leaves_ms: None,
             capacity,
             incarnation: 1,
             clock_ms: 500_000,
@@ -397,7 +400,7 @@
         self.upstreams
             .iter()
             .filter(reachable)
-            .map(report)
+            .map(|one| report(one, self.now_ms))
             .collect()
     }
 
@@ -502,6 +505,7 @@
         self.now_ms += STEP_MS;
         self.revive_upstreams();
         self.crash_upstreams();
+        self.remove_leaving();
         self.advance_upstreams();
         self.execute_due_orders();
         self.finish_half_answers();
@@ -525,6 +529,16 @@
         }
     }
 
+    /// Takes away the upstreams whose notice is over.
+    fn remove_leaving(&mut self) {
+        for index in 0..self.upstreams.len() {
+            let leaves_ms = self.upstreams[index].leaves_ms;
+            if leaves_ms.is_some_and(|at_ms| at_ms <= self.now_ms) && !self.upstreams[index].dead {
+                self.crash(index, false);
+            }
+        }
+    }
+
     fn revive_upstreams(&mut self) {
         let renamed = self.crash_course.renamed;
         for upstream in &mut self.upstreams {
@@ -1083,7 +1097,7 @@
 
     /// Returns an upstream's report.
     pub fn report_of(&self, index: usize) -> UpstreamReport {
-        report(&self.upstreams[index])
+        report(&self.upstreams[index], self.now_ms)
     }
 
     /// Passes a report to the owner.
@@ -1129,7 +1143,7 @@
     }
 }
 
-fn report(upstream: &SimUpstream) -> UpstreamReport {
+fn report(upstream: &SimUpstream, now_ms: u64) -> UpstreamReport {
     UpstreamReport {
         name: upstream.name.clone(),
         pool: name("pool"),
@@ -1138,8 +1152,10 @@
         rack: Some(upstream.rack.clone()),
         labels: vec![name("kind"), upstream.rack.clone()],
         capacity: upstream.capacity,
-        draining: upstream.draining,
-        remaining_ms: None,
+        draining: upstream.draining || upstream.leaves_ms.is_some(),
+        remaining_ms: upstream
+            .leaves_ms
+            .map(|leaves_ms| leaves_ms.saturating_sub(now_ms)),
         clock_ms: upstream.clock_ms,
         incarnation: upstream.incarnation,
     }
