Let work that can wait try unknown upstreams first

Change: units that yield to urgent work take unknown upstreams of an uneven pool first, packed as before, then the slow ones, last those that urgent work needs.

--- a/src/work/placing/slowdown.rs
+++ b/src/work/placing/slowdown.rs
@@ -13,6 +13,8 @@
 const OWN_WEIGHT: u64 = 3;
 /// Slowdown above which an upstream is a straggler, used only if no other fits.
 const STRAGGLER_SLOWDOWN: f64 = 1.9;
+/// Deviation above which an upstream of an uneven pool counts as unknown.
+const UNKNOWN_DEVIATION: f64 = 0.34;
 /// Deviation above which too little is known for that.
 const STRAGGLER_DEVIATION_MAX: f64 = 0.35;
 /// Penalty of a straggler; larger than any other.
@@ -103,9 +105,12 @@
         let own = preference
             .limit
             .map_or(0, |limit| OWN_WEIGHT * steps(limit));
-        let left = preference
-            .yields
-            .map_or(0, |limit| LATE_STEPS as u64 - steps(limit));
+        // What can wait also shows soonest what an unknown upstream is fit for.
+        let is_unknown = self.deviation > UNKNOWN_DEVIATION;
+        let left = preference.yields.map_or(0, |limit| match is_unknown {
+            true => 0,
+            false => LATE_STEPS as u64 - steps(limit),
+        });
         let is_straggler =
             self.log_mean > STRAGGLER_SLOWDOWN.ln() && self.deviation < STRAGGLER_DEVIATION_MAX;
         own + left + u64::from(is_straggler) * STRAGGLER_PENALTY
