Hold no reservation for a guaranteed unit that no displacement fits

Since such a unit counted as one that waits it could reserve room and was not tried again until the reservation lapsed; it is tried in each round again.

--- a/src/work/owner/preemption.rs
+++ b/src/work/owner/preemption.rs
@@ -75,7 +75,9 @@
             true => waiting.guaranteed || waiting.slack_ms >= 0,
             false => waiting.slack_ms < PREEMPTION_SLACK_MS,
         };
-        if may_preempt && self.preempt_or_wait(blocked, pool, &after_stops) {
+        let has_room = may_preempt && self.preempt_or_wait(blocked, pool, &after_stops);
+        // A guaranteed unit is tried again in the next round: a reservation would hold that up.
+        if has_room || waiting.guaranteed {
             return;
         }
         let without_weaker = self.upstreams_without_weaker(blocked.claim.rank, pool);
