--- a/src/work/owner/preemption.rs
+++ b/src/work/owner/preemption.rs
@@ -75,9 +75,7 @@
             true => waiting.guaranteed || waiting.slack_ms >= 0,
             false => waiting.slack_ms < PREEMPTION_SLACK_MS,
         };
-        let has_room = may_preempt && self.preempt_or_wait(blocked, pool, &after_stops);
-        // A guaranteed unit is tried again in the next round: a reservation would hold that up.
-        if has_room || waiting.guaranteed {
+        if may_preempt && self.preempt_or_wait(blocked, pool, &after_stops) {
             return;
         }
         let without_weaker = self.upstreams_without_weaker(blocked.claim.rank, pool);
@@ -87,7 +85,7 @@
     }
 
     /// Chooses between preemption and the ends of runs in sight, and prepares the one that costs
-    /// callers less. Returns whether it found room.
+    /// callers less. Returns whether nothing else is to be tried.
     fn preempt_or_wait(
         &mut self,
         blocked: &BlockedUnit,
@@ -97,18 +95,19 @@
         let running = self.running_victims(blocked, pool);
         let victims: Vec<&VictimUnit> = running.iter().map(|one| &one.victim).collect();
         let chosen = choose_victims(blocked.demand, &blocked.claim, after_stops, &victims);
-        let cost_of = |chosen: &Vec<usize>| chosen.iter().map(|&one| victims[one].lost_work).sum();
+        let Some(chosen) = chosen else {
+            // It is tried again in the next round: a reservation would hold that up.
+            return true;
+        };
         let ends = self.next_ends(blocked, pool);
         let options = RoomOptions {
             outlook: blocked.outlook,
             guaranteed: blocked.waiting.guaranteed,
             ends_ms: ends.as_ref().map(|ends| ends.after_ms),
-            displacement_cost: chosen.as_ref().map(cost_of),
+            displacement_cost: Some(chosen.iter().map(|&one| victims[one].lost_work).sum()),
             stop_ms: self.timing.stop_ms,
         };
-        if let Some(chosen) = chosen
-            && options.choose() == RoomChoice::Displace
-        {
+        if options.choose() == RoomChoice::Displace {
             self.preempt(blocked, pool, &running, &chosen);
             return true;
         }
