--- a/src/work/owner/speeds.rs
+++ b/src/work/owner/speeds.rs
@@ -13,6 +13,8 @@
 
 /// Shortest time between two looks at the runs in progress on an upstream, in ms.
 const LIVE_INTERVAL_MS: u64 = 700;
+/// Runs in progress on an upstream that are looked at; more tell little that is new.
+const LIVE_RUNS_MAX: usize = 16;
 /// Shortest time between two estimates of a step's bias, in ms.
 const BIAS_INTERVAL_MS: u64 = 500;
 /// Shortest time between two batches with stored speeds, in ms.
@@ -56,6 +58,9 @@
     fn live_evidence(&mut self, index: usize) -> Vec<StepEvidence> {
         let mut evidence = Vec::new();
         for held in 0..self.upstreams[index].held.len() {
+            if evidence.len() == LIVE_RUNS_MAX {
+                break;
+            }
             let held = &self.upstreams[index].held[held];
             let (unit, member) = (held.unit, held.member);
             let Some(job) = self.job_index(&held.job) else {
