Keep the speeds of a gang's members ready, and look at fewer runs

For each member of a gang the distribution of all others was computed anew at each look, by the square of the gang's width. The comparison of a demand with those that did not fit copied it for each of them, and the next ends were searched for guaranteed work too.

Change: the settled distribution of each upstream is kept as logarithms; 8 runs of an upstream are looked at once a second; a demand is copied once; guaranteed work asks for no ends.

--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -44,15 +44,15 @@
     }
 
     fn is_unplaceable(&self, demand: &UnitDemand) -> bool {
+        if self.unplaceable.is_empty() {
+            return false;
+        }
         let speed = SpeedPreference::default();
-        let same = |other: &UnitDemand| {
-            *other
-                == UnitDemand {
-                    speed,
-                    ..demand.clone()
-                }
+        let wanted = UnitDemand {
+            speed,
+            ..demand.clone()
         };
-        self.unplaceable.iter().any(same)
+        self.unplaceable.contains(&wanted)
     }
 }
 
--- a/src/work/owner/preemption.rs
+++ b/src/work/owner/preemption.rs
@@ -99,7 +99,11 @@
             // It is tried again in the next round: a reservation would hold that up.
             return true;
         };
-        let ends = self.next_ends(blocked, pool);
+        // A guarantee is kept whatever it costs, so nothing is to be compared.
+        let ends = match blocked.waiting.guaranteed {
+            true => None,
+            false => self.next_ends(blocked, pool),
+        };
         let options = RoomOptions {
             outlook: blocked.outlook,
             guaranteed: blocked.waiting.guaranteed,
--- a/src/work/owner/speeds.rs
+++ b/src/work/owner/speeds.rs
@@ -12,9 +12,9 @@
 use crate::work::placing::speed::table::{StepEvidence, StepKey};
 
 /// Shortest time between two looks at the runs in progress on an upstream, in ms.
-const LIVE_INTERVAL_MS: u64 = 700;
+const LIVE_INTERVAL_MS: u64 = 1_000;
 /// Runs in progress on an upstream that are looked at; more tell little that is new.
-const LIVE_RUNS_MAX: usize = 16;
+const LIVE_RUNS_MAX: usize = 8;
 /// Shortest time between two estimates of a step's bias, in ms.
 const BIAS_INTERVAL_MS: u64 = 500;
 /// Shortest time between two batches with stored speeds, in ms.
--- a/src/work/placing/speed/table.rs
+++ b/src/work/placing/speed/table.rs
@@ -50,6 +50,8 @@
     live: Vec<StepEvidence>,
     /// Slowness by `settled` alone.
     slowdown_settled: UpstreamSlowdown,
+    /// Logarithm of the probability of each cell or a lower one, by `settled` alone.
+    settled_logs: [f64; CELLS],
     /// Slowness by all evidence.
     slowdown: UpstreamSlowdown,
     /// Slowness by `settled` when it was stored last.
@@ -58,7 +60,9 @@
 
 impl UpstreamSpeed {
     fn estimate(&mut self, classes: &SlownessDistribution) {
-        self.slowdown_settled = self.settled.applied_to(classes).slowdown();
+        let settled = self.settled.applied_to(classes);
+        self.slowdown_settled = settled.slowdown();
+        self.settled_logs = settled.log_cumulative();
         self.slowdown = self.evidence(None).applied_to(classes).slowdown();
     }
 
@@ -84,6 +88,8 @@
 pub struct SpeedTable {
     /// How slowness is distributed over the pool.
     classes: SlownessDistribution,
+    /// Logarithm of the probability of each cell or a lower one; none before the first estimate.
+    classes_logs: Option<[f64; CELLS]>,
     classes_ms: u64,
     /// Sorted by name.
     upstreams: Vec<UpstreamSpeed>,
@@ -213,6 +219,7 @@
             }
         }
         self.classes = SlownessDistribution::normalized(|cell| shares[cell]).with_any();
+        self.classes_logs = Some(self.classes.log_cumulative());
         for row in &mut self.upstreams {
             row.estimate(&self.classes);
         }
@@ -275,12 +282,22 @@
         }
         let mut sum = [0.0; CELLS];
         for member in members {
-            let logs = self.without(step, member).log_cumulative();
+            let logs = self.settled_logs(member);
             (0..CELLS).for_each(|cell| sum[cell] += logs[cell]);
         }
         SlownessDistribution::of_largest(&sum)
     }
 
+    /// Wide gangs ask for many upstreams at once, so this is kept ready.
+    fn settled_logs(&self, name: &ObjectName) -> [f64; CELLS] {
+        match self.find(name) {
+            Ok(index) => self.upstreams[index].settled_logs,
+            Err(_) => self
+                .classes_logs
+                .unwrap_or_else(|| self.classes.log_cumulative()),
+        }
+    }
+
     fn without(&self, step: &StepKey, name: &ObjectName) -> SlownessDistribution {
         match self.find(name) {
             Ok(index) => self.upstreams[index]
@@ -304,6 +321,7 @@
                     settled: EvidenceCurve::default(),
                     settled_ms: 0,
                     live: Vec::new(),
+                    settled_logs: self.classes.log_cumulative(),
                     slowdown_settled: self.classes.slowdown(),
                     slowdown: self.classes.slowdown(),
                     stored: SlownessDistribution::default().slowdown(),
