Send each shape of crowd to each listener

The crowd tests sent most shapes to one listener only. These send each to the others (ready, metrics and peers of a host, the scheduler), and add bodies that are legal at each moment and never end (chunk extensions, trailers, announced bodies) and requests whose answers nobody reads. Crowd and bounds are those of crowds.rs and process_crowds.rs; memory is the peak of the resident memory and of the bytes received and not yet read, sampled each 20 ms.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod condition;
 pub mod crowd;
+pub mod crowd_shapes;
 pub mod deployment_host;
 pub mod deployment_plan;
 pub mod fault;
@@ -16,4 +17,5 @@
 pub mod runner;
 pub mod server;
 pub mod test_deployment;
+pub mod use_sampler;
 pub mod worker;
