Serve heads and idle connections up to the limits that the configuration states

Callers saw 431 for a request whose header fields have 16,384 bytes, and a closed connection when they used one again after 14 s without a request. The configuration states maxHeaderBytes 16,384 and idleTimeoutMs 15,000 on all deployments in force.

Cause: the bound on a head was 16,384 bytes with the request line, and the time limit on a head, 10 s, runs while a connection is idle.

legal_clients failed on in both tests ("head" and "all": 431; "idle": an empty answer) and passes with 24 KB (16 KB of fields and 8 KB of request line) and 20 s. A stalled head gives way after 500 ms when places run out, so the longer limit costs no places. Bodies of 262,144 bytes, whole, in large and in 8-byte chunks, were served before as well.

--- a/src/work/intake/limits.rs
+++ b/src/work/intake/limits.rs
@@ -24,10 +24,12 @@
 const MESSAGE_MEMORY_DIVISOR: usize = 20;
 /// Upper bound of what a connection takes beside its body: its buffers and its state, in bytes.
 const CONNECTION_BYTES: usize = 32_768;
-/// Largest head of a request, and largest buffer of a connection, in bytes.
-pub const HEAD_MAX_BYTES: usize = 16_384;
-/// Time within which a client sends the head of a request, in ms.
-pub const HEAD_TIMEOUT_MS: u64 = 10_000;
+/// Largest head of a request, and largest buffer of a connection, in bytes: header fields of 16 KB
+/// and a request line of 8 KB.
+pub const HEAD_MAX_BYTES: usize = 24_576;
+/// Time within which a client sends the head of a request, in ms. It includes the time for which a
+/// connection may be idle before the next request.
+pub const HEAD_TIMEOUT_MS: u64 = 20_000;
 /// Memory of a machine that names none, in MB.
 const MEMORY_DEFAULT_MB: u64 = 256;
 /// Descriptors of a machine that names none.
