Bound the store calls that callers cause at a time

Cause: a question for an unknown job, an unknown key or a stale configuration reads the store, and each read in flight opens a connection of its own. 100 callers' connections thus opened 100 more, which belong to no listener's bound.

A call waits for a place within its own time, 1.2 s; then it is refused as "not run", as before when the store is slow. A call that gets its place skips the read if one that began after its arrival has succeeded meanwhile. A record that the owner did not confirm is appended only if a place is free; its call tries again.

A single question is served as before. Weighed: a bound on all connections of the HTTP client; it would make the owner's own calls wait behind callers.

--- a/src/work/calls/admission.rs
+++ b/src/work/calls/admission.rs
@@ -80,7 +80,14 @@
     /// Reads the newest configuration for a call that may not be decided by version `before`.
     async fn check_config(&self, before: u64) -> Result<(), CallRefusal> {
         let asked_ms = steady_ms();
-        let checked = self.context.refresh_config();
+        let checked = async {
+            let _place = self.context.caller_places.acquire().await;
+            // Another call may have read it meanwhile.
+            match self.context.active_config.is_current(asked_ms, 0) {
+                true => Ok(()),
+                false => self.context.refresh_config().await,
+            }
+        };
         let result = match timeout(Duration::from_millis(CHECK_TIMEOUT_MS), checked).await {
             Ok(result) => result.map_err(|failure| failure.to_string()),
             Err(_) => Err("the configuration could not be checked".to_owned()),
--- a/src/work/calls/job_service.rs
+++ b/src/work/calls/job_service.rs
@@ -184,7 +184,15 @@
         if self.is_unavailable(StreamName::Jobs) {
             return Err(self.unavailable(StreamName::Jobs, "the store is away"));
         }
-        let checked = self.context.refresh_jobs();
+        let arrived_ms = steady_ms();
+        let checked = async {
+            let _place = self.context.caller_places.acquire().await;
+            // A read that began after this call arrived has shown all that was stored before.
+            match self.context.jobs_asked_ms.get() > arrived_ms {
+                true => Ok(()),
+                false => self.context.refresh_jobs().await,
+            }
+        };
         match timeout(Duration::from_millis(CHECK_TIMEOUT_MS), checked).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(failure)) => Err(self.unavailable(StreamName::Jobs, failure)),
--- a/src/work/intake/limits.rs
+++ b/src/work/intake/limits.rs
@@ -16,6 +16,10 @@
 const PROBE_SOCKETS_DIVISOR: usize = 32;
 /// Smallest and largest number of connections to a listener of readiness or metrics.
 const PROBE_CONNECTIONS: [usize; 2] = [8, 32];
+/// Share of the sockets for the store calls that callers cause, as a divisor.
+const STORE_CALLS_DIVISOR: usize = 16;
+/// Smallest and largest number of such calls at a time.
+const STORE_CALLS: [usize; 2] = [4, 64];
 /// Share of the memory for the buffers of callers' connections, as a divisor.
 const CONNECTION_MEMORY_DIVISOR: usize = 6;
 /// Share of the memory for callers' bodies, as a divisor.
@@ -104,6 +108,12 @@
         }
     }
 
+    /// Returns how many calls to the store callers may cause at a time, and the same for peers.
+    pub fn store_calls_max(&self) -> usize {
+        let [least, most] = STORE_CALLS;
+        (self.sockets() / STORE_CALLS_DIVISOR).clamp(least, most)
+    }
+
     fn sockets(&self) -> usize {
         self.descriptors.saturating_sub(FILE_DESCRIPTORS)
     }
--- a/src/work/state/context.rs
+++ b/src/work/state/context.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 use crate::tables::name::ObjectName;
 use crate::work::clock::{host_time, steady_ms};
@@ -44,6 +44,8 @@
     pub job_memory_bytes: u64,
     /// Time for which the state of a job that is over is kept, in ms.
     pub retention_ms: u64,
+    /// Largest number of calls to the store that callers cause at a time.
+    pub store_calls_max: usize,
 }
 
 /// State that all tasks of one host share.
@@ -60,6 +62,10 @@
     pub jobs_view: RefCell<JobsView>,
     /// Offset in the jobs stream from which to read on.
     pub next_jobs_offset: Cell<u64>,
+    /// When the last read up to the end of the jobs stream began, steady ms.
+    pub jobs_asked_ms: Cell<u64>,
+    /// Places for the calls to the store that callers cause. Each may open a connection.
+    pub caller_places: Semaphore,
     /// Whether a complete listing of the jobs stream has been read.
     pub jobs_listed: Cell<bool>,
     /// The configuration in force, with its age.
@@ -84,7 +90,10 @@
     /// Creates the state of a host that has read nothing from the store yet.
     pub fn new(identity: HostIdentity, store: S, orders: O, reader: R, peers: Rc<PeerSet>) -> Self {
         let election = ElectionTimer::new(identity.name.clone(), identity.rank);
+        let caller_places = Semaphore::new(identity.store_calls_max);
         Self {
+            jobs_asked_ms: Cell::new(0),
+            caller_places,
             identity,
             store: RelayStore::new(store, Rc::clone(&peers)),
             orders,
@@ -138,6 +147,10 @@
             target: LOG_TARGET, key = entry.key.as_str(), failure:% = before;
             "store: the owner's group commit did not confirm a record; this host appends it."
         );
+        let Ok(_place) = self.caller_places.try_acquire() else {
+            let busy = StoreFailure::NotDone("too many calls wait for the store".to_owned());
+            return Err(before.less_certain(busy));
+        };
         let call = StoreCall::append_record(entry.clone());
         match self.call_store(&call).await {
             Ok(_) => Ok(()),
@@ -227,6 +240,14 @@
         if !self.jobs_listed.get() {
             return Err(StoreFailure::NotDone("not listed yet".to_owned()));
         }
+        let asked_ms = steady_ms();
+        self.read_jobs_to_end().await?;
+        self.jobs_asked_ms
+            .set(self.jobs_asked_ms.get().max(asked_ms));
+        Ok(())
+    }
+
+    async fn read_jobs_to_end(&self) -> Result<(), StoreFailure> {
         loop {
             let call = StoreCall::Read {
                 stream: StreamName::Jobs,
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -217,6 +217,7 @@
         },
         job_memory_bytes: 64_000_000,
         retention_ms: 180_000,
+        store_calls_max: 64,
     };
     HostContext::new(identity, store, (), KeyReader, Rc::new(PeerSet::default()))
 }
--- a/tests/paused_owner.rs
+++ b/tests/paused_owner.rs
@@ -104,6 +104,7 @@
         },
         job_memory_bytes: 64_000_000,
         retention_ms: 180_000,
+        store_calls_max: 64,
     }
 }
 
