Count the replies to a peer until it has taken them

Cause: a call gave its room back when its reply was queued, replies counted nowhere, each call of a few bytes was served by a task of its own without a bound, and each forwarded call opened a connection to the store.

Now a call counts 4 KB while it is served, and its reply counts with it until the peer has taken it.

The same code stood twice, in the host's and in the scheduler's listener; both use the new reply queue.

--- a/src/daemons/scheduler_http.rs
+++ b/src/daemons/scheduler_http.rs
@@ -2,13 +2,12 @@
 //! of peers and gateways.
 
 use dropshot::Body;
-use futures_util::{SinkExt, StreamExt};
+use futures_util::StreamExt;
 use http::header::{CONNECTION, SEC_WEBSOCKET_ACCEPT, SEC_WEBSOCKET_KEY, UPGRADE};
 use http::{Method, Response, StatusCode};
 use hyper::upgrade::OnUpgrade;
 use hyper_util::rt::TokioIo;
 use metrics_exporter_prometheus::PrometheusHandle;
-use tokio::sync::mpsc;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::handshake::derive_accept_key;
@@ -23,6 +22,7 @@
 use crate::wire::peer::{PeerBody, PeerCall, PeerFrame};
 use crate::work::intake::gate::ConnectionSlot;
 use crate::work::intake::metered::{MessageMeter, MeteredStream};
+use crate::work::intake::reply_queue::reply_queue;
 
 /// Capacity of the queue of replies waiting to be sent on one connection.
 const REPLY_QUEUE_MAX: usize = 1_024;
@@ -118,15 +118,8 @@
         .max_message_size(Some(MESSAGE_MAX_BYTES))
         .max_frame_size(Some(MESSAGE_MAX_BYTES));
     let socket = WebSocketStream::from_raw_socket(stream, Role::Server, Some(config)).await;
-    let (mut sink, mut stream) = socket.split();
-    let (sender, mut replies) = mpsc::channel::<Message>(REPLY_QUEUE_MAX);
-    let writer = async move {
-        while let Some(message) = replies.recv().await {
-            if sink.send(message).await.is_err() {
-                return;
-            }
-        }
-    };
+    let (sink, mut stream) = socket.split();
+    let (replies, writer) = reply_queue(&meter, REPLY_QUEUE_MAX);
     let reader = async move {
         while let Some(Ok(message)) = stream.next().await {
             let Ok(held) = meter.take_message(message.len()) else {
@@ -135,7 +128,8 @@
             // Pongs are sent explicitly: the split-off sink does not flush them by itself.
             if let Message::Ping(payload) = &message {
                 meter.release(held);
-                if sender.send(Message::Pong(payload.clone())).await.is_err() {
+                let pong = Message::Pong(payload.clone());
+                if replies.send(pong, 0).await.is_err() {
                     break;
                 }
                 continue;
@@ -148,34 +142,32 @@
                 meter.release(held);
                 continue;
             };
-            let replied = reply_to_call(context.clone(), id, call, sender.clone());
-            let meter = meter.clone();
+            let replied = reply_to_call(context.clone(), id, call);
+            let (meter, replies) = (meter.clone(), replies.clone());
             tokio::spawn(async move {
-                replied.await;
-                meter.release(held);
+                let Some(reply) = replied.await else {
+                    meter.release(held);
+                    return;
+                };
+                // If the connection is gone, the peer already treats its call as one that may have
+                // run.
+                let _ = replies.send(reply, held).await;
             });
         }
     };
     // Whichever ends first ends the connection.
     tokio::select! {
         () = reader => {}
-        () = writer => {}
+        () = writer.run(sink) => {}
     }
 }
 
-async fn reply_to_call(
-    context: SharedContext,
-    id: u64,
-    call: PeerCall,
-    replies: mpsc::Sender<Message>,
-) {
+/// Serves a call and returns the reply, or none if it cannot be encoded.
+async fn reply_to_call(context: SharedContext, id: u64, call: PeerCall) -> Option<Message> {
     let reply = serve_call(&context, call).await;
     let frame = PeerFrame {
         id,
         body: PeerBody::Reply(Box::new(reply)),
     };
-    if let Some(message) = encode_frame(&frame) {
-        // If the caller has disconnected, it already treats its call as one that may have run.
-        let _ = replies.send(message).await;
-    }
+    encode_frame(&frame)
 }
--- a/src/work/host.rs
+++ b/src/work/host.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::sync::Semaphore;
+
 use crate::tables::name::ObjectName;
 use crate::work::calls::job_service::JobService;
 use crate::work::clock::steady_ms;
@@ -156,6 +158,10 @@
         (!store.is_direct_path_down()).then(|| store.direct().clone())
     }
 
+    fn store_places(&self) -> Option<&Semaphore> {
+        Some(&self.context.peer_places)
+    }
+
     /// The largest append that the store takes, twice over: what surrounds its records is smaller.
     fn message_max_bytes(&self) -> usize {
         self.context.identity.limits.request_bytes.saturating_mul(2)
--- a/src/work/intake/metered.rs
+++ b/src/work/intake/metered.rs
@@ -13,6 +13,8 @@
 
 /// Bytes of a message that are granted at once.
 const GRANT_BYTES: usize = 16_384;
+/// Upper bound of what a call takes beside its message while it is served, in bytes.
+const CALL_BYTES: usize = 4_096;
 
 /// Bytes of the message that arrives on a connection.
 #[derive(Clone)]
@@ -47,12 +49,22 @@
         self.slot.rest();
         let granted = self.counts.granted.swap(0, Ordering::Relaxed);
         if granted == 0 {
-            self.slot.grow(size)?;
-            return Ok(size);
+            let held = size + CALL_BYTES;
+            self.slot.grow(held)?;
+            return Ok(held);
         }
         Ok(granted)
     }
 
+    /// Holds bytes for a reply. They are given back with `release`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no room for it.
+    pub fn hold(&self, size: usize) -> Result<(), IntakeFull> {
+        self.slot.grow(size)
+    }
+
     /// Gives back the bytes of a message.
     pub fn release(&self, bytes: usize) {
         if bytes > 0 {
--- a/src/work/intake/mod.rs
+++ b/src/work/intake/mod.rs
@@ -10,3 +10,4 @@
 pub mod limits;
 pub mod listener;
 pub mod metered;
+pub mod reply_queue;
--- a/src/work/peers/links.rs
+++ b/src/work/peers/links.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::{SinkExt, StreamExt};
+use futures_util::StreamExt;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio_tungstenite::accept_async_with_config;
 use tokio_tungstenite::tungstenite::Message;
@@ -20,6 +20,7 @@
 use crate::work::intake::gate::ConnectionSlot;
 use crate::work::intake::listener::GuardedListener;
 use crate::work::intake::metered::{MessageMeter, MeteredStream};
+use crate::work::intake::reply_queue::reply_queue;
 use crate::work::model::stream::{KeyedValue, StoreCall, StoreFailure, StoreReply};
 use crate::work::ports::StorePort;
 
@@ -104,6 +105,12 @@
     /// Returns the store client, or none if the direct path of this host is down as well.
     fn store(&self) -> Option<Self::Store>;
 
+    /// Returns the places for calls to the store, each of which may open a connection to it. There is
+    /// no bound where the service names none.
+    fn store_places(&self) -> Option<&Semaphore> {
+        None
+    }
+
     /// Returns the size of the largest message that a peer may send, in bytes.
     fn message_max_bytes(&self) -> usize {
         MESSAGE_DEFAULT_BYTES
@@ -221,11 +228,18 @@
 }
 
 async fn forward_call(
-    direct: Option<impl StorePort>,
+    service: &impl PeerService,
     call: &StoreCall,
 ) -> Result<StoreReply, StoreFailure> {
     let limit = Duration::from_millis(FORWARD_TIMEOUT_MS);
-    match direct {
+    let _place = match service.store_places() {
+        Some(places) => {
+            let busy = |_| StoreFailure::NotDone("too many calls are forwarded".to_owned());
+            Some(timeout(limit, places.acquire()).await.map_err(busy)?)
+        }
+        None => None,
+    };
+    match service.store() {
         Some(direct) => direct.call(call, limit).await,
         None => Err(StoreFailure::NotDone("turned away as well".to_owned())),
     }
@@ -266,15 +280,8 @@
     let Ok(Ok(socket)) = timeout(silence_max, accepted).await else {
         return;
     };
-    let (mut sink, mut source) = socket.split();
-    let (replies, mut queue) = mpsc::channel::<Message>(REPLIES_MAX);
-    let writer = async move {
-        while let Some(message) = queue.recv().await {
-            if sink.send(message).await.is_err() {
-                return;
-            }
-        }
-    };
+    let (sink, mut source) = socket.split();
+    let (replies, writer) = reply_queue(&meter, REPLIES_MAX);
     let reader = async move {
         while let Ok(Some(Ok(message))) = timeout(silence_max, source.next()).await {
             let Ok(held) = meter.take_message(message.len()) else {
@@ -283,7 +290,8 @@
             // Answered explicitly: the split socket's write half does not flush automatic pongs.
             if let Message::Ping(payload) = &message {
                 meter.release(held);
-                if replies.send(Message::Pong(payload.clone())).await.is_err() {
+                let pong = Message::Pong(payload.clone());
+                if replies.send(pong, 0).await.is_err() {
                     break;
                 }
                 continue;
@@ -292,39 +300,37 @@
                 meter.release(held);
                 continue;
             };
-            let served = serve_frame(frame, Rc::clone(&service), replies.clone());
-            let meter = meter.clone();
+            let served = serve_frame(frame, Rc::clone(&service));
+            let (meter, replies) = (meter.clone(), replies.clone());
             tokio::task::spawn_local(async move {
-                served.await;
-                meter.release(held);
+                let Some(reply) = served.await else {
+                    meter.release(held);
+                    return;
+                };
+                // If the connection is gone, the peer treats its call as possibly applied.
+                let _ = replies.send(reply, held).await;
             });
         }
     };
     // Whichever ends first ends the connection.
     tokio::select! {
         () = reader => {}
-        () = writer => {}
+        () = writer.run(sink) => {}
     }
 }
 
-async fn serve_frame(
-    frame: PeerFrame,
-    service: Rc<impl PeerService>,
-    replies: mpsc::Sender<Message>,
-) {
+/// Serves a call of a peer and returns the reply, or none if the frame is no call.
+async fn serve_frame(frame: PeerFrame, service: Rc<impl PeerService>) -> Option<Message> {
     let reply = match frame.body {
         PeerBody::Call(PeerCall::Store(call)) => {
-            PeerReply::Store(forward_call(service.store(), &call).await)
+            PeerReply::Store(forward_call(&*service, &call).await)
         }
         PeerBody::Call(PeerCall::Record(entry)) => PeerReply::Recorded(service.record(entry).await),
-        _ => return,
+        _ => return None,
     };
     let reply = PeerFrame {
         id: frame.id,
         body: PeerBody::Reply(Box::new(Ok(reply))),
     };
-    if let Some(message) = encode_frame(&reply) {
-        // If the connection is gone, the peer treats its call as possibly applied.
-        let _ = replies.send(message).await;
-    }
+    encode_frame(&reply)
 }
--- a/src/work/state/context.rs
+++ b/src/work/state/context.rs
@@ -44,7 +44,7 @@
     pub job_memory_bytes: u64,
     /// Time for which the state of a job that is over is kept, in ms.
     pub retention_ms: u64,
-    /// Largest number of calls to the store that callers cause at a time.
+    /// Largest number of calls to the store that callers cause at a time, and the same for peers.
     pub store_calls_max: usize,
 }
 
@@ -66,6 +66,8 @@
     pub jobs_asked_ms: Cell<u64>,
     /// Places for the calls to the store that callers cause. Each may open a connection.
     pub caller_places: Semaphore,
+    /// Places for the calls to the store that are forwarded for peers.
+    pub peer_places: Semaphore,
     /// Whether a complete listing of the jobs stream has been read.
     pub jobs_listed: Cell<bool>,
     /// The configuration in force, with its age.
@@ -90,10 +92,11 @@
     /// Creates the state of a host that has read nothing from the store yet.
     pub fn new(identity: HostIdentity, store: S, orders: O, reader: R, peers: Rc<PeerSet>) -> Self {
         let election = ElectionTimer::new(identity.name.clone(), identity.rank);
-        let caller_places = Semaphore::new(identity.store_calls_max);
+        let places = || Semaphore::new(identity.store_calls_max);
         Self {
             jobs_asked_ms: Cell::new(0),
-            caller_places,
+            caller_places: places(),
+            peer_places: places(),
             identity,
             store: RelayStore::new(store, Rc::clone(&peers)),
             orders,
