Bound what JSON bodies take once they are parsed

The bound on bodies counted 6.4 MB.

The crowd tests sent bodies that are no JSON, which were refused while parsing.

Now a body is parsed once there is room for what it becomes (a quarter of the memory; a body that is too large for that takes all of it, so a single one is always served), and the room is kept until the answer. One that waits for longer than a call may take is refused with 503 as not run.

--- a/src/daemons/gateway.rs
+++ b/src/daemons/gateway.rs
@@ -19,6 +19,7 @@
 use crate::settings::gateway::GatewaySettings;
 use crate::tables::name::ObjectName;
 use crate::wire::peer::{PeerCall, PeerReply, RoutingView};
+use crate::work::intake::parse_room::ParseRoom;
 
 /// Age of the routing state from which on the readiness probe fails, in ms.
 const ROUTING_MAX_AGE_MS: u64 = 3_000;
@@ -35,6 +36,8 @@
     pub router: RequestRouter,
     /// Admission control of requests, by team.
     pub admission: AdmissionTable,
+    /// Room for parsed JSON bodies.
+    pub parse_room: ParseRoom,
     /// Renders the metrics as Prometheus text.
     pub metrics: PrometheusHandle,
     /// Whether this host is shutting down.
@@ -161,6 +164,7 @@
             schedulers: addresses.map(|address| PeerLink::start(*address)).collect(),
             router: RequestRouter::start(settings.requests.clone()),
             admission: AdmissionTable::new(settings.requests.queue_max),
+            parse_room: ParseRoom::new(settings.machine.memory_bytes),
             metrics,
             draining: AtomicBool::new(false),
             instance_id: rand::random(),
--- a/src/daemons/gateway_http.rs
+++ b/src/daemons/gateway_http.rs
@@ -1,10 +1,10 @@
 //! HTTP endpoints of the gateway for callers and operators.
 
 use http::Method;
-use schemars::JsonSchema;
-use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use tokio::time::timeout;
 
+use crate::daemons::cancel_body::CancelBody;
 use crate::daemons::gateway::SharedGateway;
 use crate::daemons::guarded_server::{GuardedRequest, RequestHandler};
 use crate::daemons::http_reply::{
@@ -18,9 +18,12 @@
 use crate::tables::ticket::TicketSpec;
 use crate::wire::api::AuditFilter;
 use crate::wire::peer::{PeerCall, PeerReply};
+use crate::work::intake::parse_room::ParsePermit;
 
 /// Largest JSON request body, in bytes.
 const JSON_MAX_BYTES: usize = 1024 * 1024;
+/// Retry time sent to callers whose body there was no room to parse, in ms.
+const PARSE_RETRY_MS: u64 = 1_000;
 
 /// Endpoints of the gateway.
 pub struct GatewayEndpoints {
@@ -84,15 +87,15 @@
 ) -> EndpointResult {
     match segments {
         ["jobs"] => {
-            let job: JobSpec = read_json(request).await?;
+            let (job, _permit) = read_json::<JobSpec>(gateway, request).await?;
             call(gateway, 201, PeerCall::Submit(job)).await
         }
         ["cancellations"] => {
-            let body: CancelBody = read_json(request).await?;
+            let (body, _permit) = read_json::<CancelBody>(gateway, request).await?;
             call(gateway, 200, PeerCall::Cancel(body.jobs)).await
         }
         ["tickets"] => {
-            let ticket: TicketSpec = read_json(request).await?;
+            let (ticket, _permit) = read_json::<TicketSpec>(gateway, request).await?;
             call(gateway, 201, PeerCall::Ticket(ticket)).await
         }
         ["requests", team, path @ ..] => post_request(gateway, team, path, request).await,
@@ -122,25 +125,26 @@
     text_reply(200, gateway.metrics.render())
 }
 
-/// Body of a cancellation.
-#[derive(Clone, Debug, Deserialize, JsonSchema)]
-#[serde(deny_unknown_fields)]
-pub struct CancelBody {
-    /// Ids of the jobs to cancel.
-    pub jobs: Vec<ObjectName>,
-}
-
 fn object_name(text: &str) -> Result<ObjectName, CallFailure> {
     let name = ObjectName::try_from(text);
     name.map_err(|error| CallFailure::not_run(400, error.to_string()))
 }
 
-/// Reads a JSON body of at most `JSON_MAX_BYTES`.
-async fn read_json<T: DeserializeOwned>(request: GuardedRequest) -> Result<T, CallFailure> {
+/// Reads a JSON body of at most `JSON_MAX_BYTES`. The permit is kept until the value is dropped.
+async fn read_json<T: DeserializeOwned>(
+    gateway: &SharedGateway,
+    request: GuardedRequest,
+) -> Result<(T, ParsePermit), CallFailure> {
     let body = read_held(request, JSON_MAX_BYTES).await?;
+    let reserved = gateway.parse_room.reserve(body.bytes().len());
+    let Ok(permit) = timeout(gateway.settings.call_timeout, reserved).await else {
+        body.close();
+        let failure = CallFailure::not_run(503, "there is no room to parse the body");
+        return Err(failure.retry_after(PARSE_RETRY_MS));
+    };
     let value = parse_json(body.bytes());
     body.close();
-    value
+    Ok((value?, permit))
 }
 
 type QueryPairs = Vec<(String, String)>;
--- a/src/daemons/mod.rs
+++ b/src/daemons/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod call_count;
 pub mod calls;
+pub mod cancel_body;
 pub mod context;
 pub mod gateway;
 pub mod gateway_http;
--- a/src/work/intake/mod.rs
+++ b/src/work/intake/mod.rs
@@ -10,4 +10,5 @@
 pub mod limits;
 pub mod listener;
 pub mod metered;
+pub mod parse_room;
 pub mod reply_queue;
