Turn places over while a listener is full

Cause: while all places were taken by connections that make progress, a new one was closed unread, and nothing took a place from a client that asks on. 100 busy connections kept theirs for ever.

Now new connections wait in the listener's backlog, in the order in which they came, and from the moment at which the last place is taken, for a second, each answer closes its connection. The backlog is bounded by memory, a sixteenth at 4 KB a connection, 32 to 1,024; a connection gets its 16 KB when it is accepted.

--- a/src/daemons/guarded_server.rs
+++ b/src/daemons/guarded_server.rs
@@ -12,11 +12,11 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
 use hyper_util::server::graceful::GracefulShutdown;
-use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
 use tokio::task::{JoinError, JoinHandle};
 
 use crate::daemons::http_reply::HttpReply;
+use crate::work::intake::answer::finish_answer;
 use crate::work::intake::gate::ConnectionSlot;
 use crate::work::intake::limits::{HEAD_MAX_BYTES, HEAD_TIMEOUT_MS, IntakeLimits};
 use crate::work::intake::listener::GuardedListener;
@@ -54,11 +54,9 @@
         limits: IntakeLimits,
         handler: impl RequestHandler,
     ) -> Result<Self, Report> {
-        let bound = std::net::TcpListener::bind(listen)
+        let listener = GuardedListener::bind(listen, name, limits)
             .wrap_err_with(|| format!("{name} cannot listen on {listen}"))?;
-        bound.set_nonblocking(true)?;
-        let address = bound.local_addr()?;
-        let listener = GuardedListener::new(TcpListener::from_std(bound)?, name, limits);
+        let address = listener.local_address()?;
         let closing = Arc::new(Notify::new());
         let task = tokio::spawn(serve(listener, Arc::new(handler), Arc::clone(&closing)));
         Ok(Self {
@@ -134,6 +132,7 @@
         reply
     });
     let reply = handling.await?;
-    slot.rest();
-    Ok(reply.unwrap_or_else(|error| error.into_response("")))
+    let mut response = reply.unwrap_or_else(|error| error.into_response(""));
+    finish_answer(&slot, &mut response);
+    Ok(response)
 }
--- a/src/work/intake/gate.rs
+++ b/src/work/intake/gate.rs
@@ -1,6 +1,7 @@
 //! Applies the decisions of the intake ledger to the connections of one listener.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use metrics::{Counter, Gauge};
 use tokio::sync::Notify;
@@ -11,6 +12,8 @@
 
 /// Shortest time between two log lines of a listener about connections that gave way, in ms.
 const LOG_INTERVAL_MS: u64 = 1_000;
+/// Interval at which a full listener checks whether a connection has stalled.
+const STALL_POLL: Duration = Duration::from_millis(50);
 
 /// Wakes a connection that has to give way.
 #[derive(Debug, Default)]
@@ -51,6 +54,8 @@
 struct GateShared {
     listener: &'static str,
     state: Mutex<GateState>,
+    /// Wakes the listener once a connection is closed.
+    place_freed: Notify,
     metrics: GateMetrics,
 }
 
@@ -113,6 +118,7 @@
         let shared = GateShared {
             listener,
             state: Mutex::new(state),
+            place_freed: Notify::new(),
             metrics: GateMetrics::new(listener),
         };
         Self {
@@ -150,6 +156,15 @@
         })
     }
 
+    /// Waits until a new connection would be admitted.
+    pub async fn wait_place(&self) {
+        while !self.shared.lock().ledger.has_place(steady_ms()) {
+            let freed = self.shared.place_freed.notified();
+            // A timeout is no failure: a connection may have stalled meanwhile.
+            let _ = tokio::time::timeout(STALL_POLL, freed).await;
+        }
+    }
+
     /// Returns whether evicted connections have not been closed yet.
     pub fn is_closing(&self) -> bool {
         self.shared.lock().ledger.closing() > 0
@@ -177,6 +192,7 @@
         let metrics = &self.shared.metrics;
         metrics.connections.set(state.ledger.connections() as f64);
         metrics.held.set(state.ledger.held_bytes() as f64);
+        self.shared.place_freed.notify_one();
     }
 }
 
@@ -223,6 +239,12 @@
             .rest(self.inner.id, steady_ms());
     }
 
+    /// Returns whether others may be waiting for the place of this connection.
+    pub fn is_contended(&self) -> bool {
+        let now_ms = steady_ms();
+        self.inner.shared.lock().ledger.is_contended(now_ms)
+    }
+
     /// Records that enough of a body has arrived to count as progress.
     pub fn progress(&self) {
         self.inner
--- a/src/work/intake/ledger.rs
+++ b/src/work/intake/ledger.rs
@@ -9,6 +9,8 @@
 
 /// Time without progress after which a connection counts as stalled, in ms.
 pub const STALL_MS: u64 = 500;
+/// Time for which places count as contended after the last one was taken, in ms.
+const CONTENDED_MS: u64 = 1_000;
 /// Share of the room for bytes that only connections which hold nothing yet may use, as a divisor.
 const SMALL_BODY_DIVISOR: usize = 4;
 /// Factor by which the bytes of evicted connections that are not closed yet may exceed the bound.
@@ -101,6 +103,8 @@
     evicted: usize,
     /// Bytes that they hold.
     evicted_bytes: usize,
+    /// When the last place was taken, steady ms; none if that never happened.
+    full_ms: Option<u64>,
 }
 
 impl IntakeLedger {
@@ -113,6 +117,7 @@
             held_bytes: 0,
             evicted: 0,
             evicted_bytes: 0,
+            full_ms: None,
         }
     }
 
@@ -131,6 +136,23 @@
         self.evicted
     }
 
+    /// Returns whether others may be waiting for a place: all have been taken a short time ago. A
+    /// place that has just become free is not enough for all that wait.
+    pub fn is_contended(&self, now_ms: u64) -> bool {
+        let since_full = |full_ms: u64| now_ms.saturating_sub(full_ms);
+        self.full_ms
+            .is_some_and(|full_ms| since_full(full_ms) < CONTENDED_MS)
+    }
+
+    fn is_full(&self) -> bool {
+        self.rows.len() - self.evicted >= self.limits.connections_max
+    }
+
+    /// Returns whether a new connection would be admitted.
+    pub fn has_place(&self, now_ms: u64) -> bool {
+        self.rows.len() < self.rows_max() && (!self.is_full() || self.stalled(now_ms).is_some())
+    }
+
     /// Makes room for a few bodies of the largest legal size, however small the machine is.
     pub fn fit_bodies(&mut self, body_max_bytes: usize) {
         let needed = body_max_bytes.saturating_mul(LARGEST_BODIES);
@@ -146,11 +168,10 @@
         &mut self,
         now_ms: u64,
     ) -> Result<(ConnectionId, Option<EvictedConnection>), IntakeFull> {
-        let most = self.limits.connections_max;
-        if self.rows.len() >= most + (most / CLOSING_DIVISOR).max(1) {
+        if self.rows.len() >= self.rows_max() {
             return Err(IntakeFull);
         }
-        let evicted = match self.rows.len() - self.evicted >= most {
+        let evicted = match self.is_full() {
             true => Some(self.evict_connection(now_ms)?),
             false => None,
         };
@@ -162,6 +183,9 @@
             held_bytes: 0,
             progressed_ms: now_ms,
         });
+        if self.is_full() {
+            self.full_ms = Some(now_ms);
+        }
         Ok((self.last_id, evicted))
     }
 
@@ -252,11 +276,22 @@
         }
     }
 
-    fn evict_connection(&mut self, now_ms: u64) -> Result<EvictedConnection, IntakeFull> {
-        let stalled = self.rows.iter().enumerate();
-        let stalled = stalled.filter(|(_, row)| row.can_close() && row.has_stalled(now_ms));
+    /// Returns the largest number of connections, evicted ones that are not closed yet included.
+    fn rows_max(&self) -> usize {
+        let most = self.limits.connections_max;
+        most + (most / CLOSING_DIVISOR).max(1)
+    }
+
+    /// Returns the index of the connection that gives way first when there are too many.
+    fn stalled(&self, now_ms: u64) -> Option<usize> {
+        let rows = self.rows.iter().enumerate();
+        let stalled = rows.filter(|(_, row)| row.can_close() && row.has_stalled(now_ms));
         let victim = stalled.min_by_key(|(_, row)| row.close_order());
-        let (index, _) = victim.ok_or(IntakeFull)?;
+        victim.map(|(index, _)| index)
+    }
+
+    fn evict_connection(&mut self, now_ms: u64) -> Result<EvictedConnection, IntakeFull> {
+        let index = self.stalled(now_ms).ok_or(IntakeFull)?;
         Ok(self.evict(index))
     }
 
--- a/src/work/intake/limits.rs
+++ b/src/work/intake/limits.rs
@@ -22,12 +22,20 @@
 const STORE_CALLS: [usize; 2] = [4, 64];
 /// Share of the memory for the buffers of callers' connections, as a divisor.
 const CONNECTION_MEMORY_DIVISOR: usize = 6;
+/// Share of the memory for what connections in the backlog of a listener have sent, as a divisor.
+const BACKLOG_MEMORY_DIVISOR: usize = 16;
+/// Smallest and largest number of connections in a backlog.
+const BACKLOG: [usize; 2] = [32, 1_024];
 /// Share of the memory for callers' bodies, as a divisor.
 const BODY_MEMORY_DIVISOR: usize = 10;
 /// Share of the memory for peers' messages, as a divisor.
 const MESSAGE_MEMORY_DIVISOR: usize = 20;
 /// Upper bound of what a connection takes beside its body: its buffers and its state, in bytes.
 const CONNECTION_BYTES: usize = 32_768;
+/// What a connection may have received and not yet read, in bytes. It counts as memory.
+pub const RECEIVE_BUFFER_BYTES: usize = 16_384;
+/// The same for a connection that waits to be accepted.
+pub const BACKLOG_BUFFER_BYTES: usize = 4_096;
 /// Largest head of a request, and largest buffer of a connection, in bytes: header fields of 16 KB
 /// and a request line of 8 KB.
 pub const HEAD_MAX_BYTES: usize = 24_576;
@@ -88,6 +96,7 @@
         IntakeLimits {
             connections_max: by_memory.min(self.sockets() / CALLER_SOCKETS_DIVISOR),
             held_max_bytes: self.memory_bytes / BODY_MEMORY_DIVISOR,
+            backlog: self.backlog(),
         }
     }
 
@@ -96,6 +105,7 @@
         IntakeLimits {
             connections_max: self.sockets() / PEER_SOCKETS_DIVISOR,
             held_max_bytes: self.memory_bytes / MESSAGE_MEMORY_DIVISOR,
+            backlog: self.backlog(),
         }
     }
 
@@ -105,9 +115,16 @@
         IntakeLimits {
             connections_max: (self.sockets() / PROBE_SOCKETS_DIVISOR).clamp(least, most),
             held_max_bytes: 0,
+            backlog: BACKLOG[0] as u32,
         }
     }
 
+    fn backlog(&self) -> u32 {
+        let [least, most] = BACKLOG;
+        let by_memory = self.memory_bytes / BACKLOG_MEMORY_DIVISOR / BACKLOG_BUFFER_BYTES;
+        by_memory.clamp(least, most) as u32
+    }
+
     /// Returns how many calls to the store callers may cause at a time, and the same for peers.
     pub fn store_calls_max(&self) -> usize {
         let [least, most] = STORE_CALLS;
@@ -132,4 +149,6 @@
     pub connections_max: usize,
     /// Largest sum of the bodies or messages that are held, in bytes.
     pub held_max_bytes: usize,
+    /// Largest number of connections that wait to be accepted.
+    pub backlog: u32,
 }
--- a/src/work/intake/listener.rs
+++ b/src/work/intake/listener.rs
@@ -1,17 +1,19 @@
 //! A listener whose connections are bounded.
 
+use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use socket2::SockRef;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::work::intake::gate::{ConnectionSlot, IntakeGate};
-use crate::work::intake::limits::{IntakeLimits, MachineLimits};
+use crate::work::intake::limits::{
+    BACKLOG_BUFFER_BYTES, IntakeLimits, MachineLimits, RECEIVE_BUFFER_BYTES,
+};
 
 /// Delay before the next accept after a failed one.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
-/// What a connection may have received and not yet read, in bytes. It counts as memory.
-const RECEIVE_BUFFER_BYTES: usize = 16_384;
 
 /// A listener with its intake.
 pub struct GuardedListener {
@@ -20,10 +22,34 @@
 }
 
 impl GuardedListener {
+    /// Binds an address. Must be called within a runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be bound.
+    pub fn bind(address: SocketAddr, name: &'static str, limits: IntakeLimits) -> io::Result<Self> {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        Ok(Self::new(socket.listen(limits.backlog)?, name, limits))
+    }
+
+    /// Returns the address that the listener is bound to.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system does not tell it.
+    pub fn local_address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
     /// Returns a listener with these bounds; metrics and log lines show it as `name`.
     pub fn new(listener: TcpListener, name: &'static str, limits: IntakeLimits) -> Self {
-        // Accepted connections inherit the size. If it cannot be set they take the system's.
-        let _ = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+        // Connections in the backlog inherit the size. If it cannot be set they take the system's.
+        let _ = SockRef::from(&listener).set_recv_buffer_size(BACKLOG_BUFFER_BYTES);
         Self {
             listener,
             gate: IntakeGate::new(name, limits),
@@ -35,9 +61,11 @@
         &self.gate
     }
 
-    /// Accepts the next connection that there is room for; others are closed unread.
+    /// Accepts the next connection. While there is no place for it, new connections wait in the
+    /// backlog, in the order in which they came.
     pub async fn accept(&self) -> (TcpStream, ConnectionSlot) {
         loop {
+            self.gate.wait_place().await;
             if self.gate.is_closing() {
                 // Evicted connections are closed before others are accepted.
                 tokio::task::yield_now().await;
@@ -47,6 +75,8 @@
                     let Ok(slot) = self.gate.open() else {
                         continue;
                     };
+                    // A failure is ignored: larger requests are only received more slowly.
+                    let _ = SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
                     // A failure is ignored: without TCP_NODELAY responses are slower but correct.
                     let _ = stream.set_nodelay(true);
                     return (stream, slot);
--- a/src/work/intake/mod.rs
+++ b/src/work/intake/mod.rs
@@ -4,6 +4,7 @@
 //! is admitted and who gives way; both are pure. `gate`, `listener` and `body` apply the decisions
 //! to real connections.
 
+pub mod answer;
 pub mod body;
 pub mod gate;
 pub mod ledger;
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -25,7 +25,7 @@
     pub body: String,
 }
 
-/// Posts a body with headers given as `name: value`.
+/// Posts a body with headers given as `name: value`; `host` defaults to the address.
 ///
 /// # Errors
 ///
@@ -49,7 +49,10 @@
     let stream = TcpStream::connect(address).await?;
     let (mut sender, driver) = handshake(TokioIo::new(stream)).await?;
     let driver = tokio::spawn(driver);
-    let mut builder = Request::post(path).header("host", address.to_string());
+    let mut builder = Request::post(path);
+    if !headers.iter().any(|header| header.starts_with("host: ")) {
+        builder = builder.header("host", address.to_string());
+    }
     for header in headers {
         let (name, value) = header
             .split_once(": ")
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod process;
 pub mod process_use;
 pub mod replay;
+pub mod returning_crowd;
 pub mod run_invariants;
 pub mod runner;
 pub mod server;
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -9,6 +9,7 @@
 const LIMITS: IntakeLimits = IntakeLimits {
     connections_max: 3,
     held_max_bytes: 400,
+    backlog: 32,
 };
 
 /// A step of a case; connections are numbered from 1 in the order in which they open.
@@ -34,6 +35,10 @@
     Wait(u64),
     /// The bytes that are held.
     Held(usize),
+    /// Whether others may be waiting for a place.
+    Contended(bool),
+    /// Whether a new connection would be admitted.
+    Place(bool),
 }
 
 struct LedgerCase {
@@ -42,9 +47,9 @@
 }
 
 use Step::{Close, Grow, Held, NoRoom, Open, OpenFor, Progress, Receive, Refused, Release, Rest};
-use Step::{Serve, Wait};
+use Step::{Contended, Place, Serve, Wait};
 
-const CASES: [LedgerCase; 13] = [
+const CASES: [LedgerCase; 16] = [
     LedgerCase {
         name: "fresh connections are not closed for new ones",
         steps: &[Open, Open, Open, Wait(STALL_MS - 1), Refused],
@@ -82,6 +87,53 @@
         name: "a place is free once its connection is closed",
         steps: &[Open, Open, Open, Close(2), Open],
     },
+    LedgerCase {
+        name: "new connections wait while all places are busy",
+        steps: &[
+            Place(true),
+            Open,
+            Open,
+            Open,
+            Place(false),
+            Wait(STALL_MS),
+            Place(true),
+            Rest(1),
+            Serve(2),
+            Serve(3),
+            Place(false),
+            Close(2),
+            Place(true),
+        ],
+    },
+    LedgerCase {
+        name: "answered connections make room for all that wait",
+        steps: &[
+            Open,
+            Open,
+            Contended(false),
+            Open,
+            Contended(true),
+            Close(1),
+            Contended(true),
+            Wait(999),
+            Contended(true),
+            Wait(1),
+            Contended(false),
+        ],
+    },
+    LedgerCase {
+        name: "places that are taken again stay contended",
+        steps: &[
+            Open,
+            Open,
+            Open,
+            Wait(900),
+            Close(1),
+            Open,
+            Wait(900),
+            Contended(true),
+        ],
+    },
     LedgerCase {
         name: "the body that has stalled for longest gives way",
         steps: &[
@@ -238,6 +290,8 @@
         NoRoom(id, bytes) => assert!(!ledger.grow(id, bytes, now).granted, "{what}"),
         Release(id, bytes) => ledger.release(id, bytes),
         Wait(ms) => *now_ms += ms,
+        Contended(contended) => assert_eq!(ledger.is_contended(now), contended, "{what}"),
+        Place(place) => assert_eq!(ledger.has_place(now), place, "{what}"),
         Held(bytes) => assert_eq!(ledger.held_bytes(), bytes, "{what}"),
     }
 }
@@ -260,6 +314,7 @@
     let limits = IntakeLimits {
         connections_max: 100,
         held_max_bytes: 1_000_000,
+        backlog: 32,
     };
     let mut ledger = IntakeLedger::new(limits);
     for round in 0..10_000_u64 {
