Keep no more idle connections than the machine has sockets for

The client of a host kept up to 1,536 idle connections whatever max_fds is, so that on a small machine with many upstreams they alone take more than the sockets that the listeners leave.

--- a/src/wire/local_http.rs
+++ b/src/wire/local_http.rs
@@ -26,12 +26,10 @@
 /// Status of a failure to connect because nothing listens at the address.
 pub const STATUS_CONNECTION_REFUSED: u16 = 521;
 
-/// Limits of idle connections; the rest of a host's descriptors is for calls in progress and
-/// callers.
-const IDLE_LIMITS: IdleLimits = IdleLimits {
-    per_address: 4,
-    total: 1_536,
-};
+/// Largest number of idle connections to one address.
+const IDLE_PER_ADDRESS: usize = 4;
+/// Largest number of idle connections in all, where the machine has room for them.
+const IDLE_TOTAL: usize = 1_536;
 
 /// A request to be sent.
 #[derive(Clone, Debug)]
@@ -88,13 +86,22 @@
 
 impl Default for LocalHttpClient {
     fn default() -> Self {
-        Self {
-            idle: Rc::new(RefCell::new(IdlePool::new(IDLE_LIMITS))),
-        }
+        Self::new(IDLE_TOTAL)
     }
 }
 
 impl LocalHttpClient {
+    /// Creates a client on a machine that has room for this many idle connections.
+    pub fn new(idle_max: usize) -> Self {
+        let limits = IdleLimits {
+            per_address: IDLE_PER_ADDRESS,
+            total: idle_max.min(IDLE_TOTAL),
+        };
+        Self {
+            idle: Rc::new(RefCell::new(IdlePool::new(limits))),
+        }
+    }
+
     /// Sends a request and reads the complete response.
     ///
     /// # Errors
--- a/src/work/intake/ledger.rs
+++ b/src/work/intake/ledger.rs
@@ -17,9 +17,6 @@
 const CLOSING_FACTOR: usize = 2;
 /// Number of the largest bodies that there is always room for.
 const LARGEST_BODIES: usize = 2;
-/// Share of the connections by which evicted ones that are not closed yet may exceed the bound, as
-/// a divisor.
-const CLOSING_DIVISOR: usize = 8;
 
 /// Number of a connection to a listener; never used twice.
 pub type ConnectionId = u64;
@@ -150,7 +147,8 @@
 
     /// Returns whether a new connection would be admitted.
     pub fn has_place(&self, now_ms: u64) -> bool {
-        self.rows.len() < self.rows_max() && (!self.is_full() || self.stalled(now_ms).is_some())
+        self.rows.len() < self.limits.sockets_max()
+            && (!self.is_full() || self.stalled(now_ms).is_some())
     }
 
     /// Makes room for a few bodies of the largest legal size, however small the machine is.
@@ -168,7 +166,7 @@
         &mut self,
         now_ms: u64,
     ) -> Result<(ConnectionId, Option<EvictedConnection>), IntakeFull> {
-        if self.rows.len() >= self.rows_max() {
+        if self.rows.len() >= self.limits.sockets_max() {
             return Err(IntakeFull);
         }
         let evicted = match self.is_full() {
@@ -276,12 +274,6 @@
         }
     }
 
-    /// Returns the largest number of connections, evicted ones that are not closed yet included.
-    fn rows_max(&self) -> usize {
-        let most = self.limits.connections_max;
-        most + (most / CLOSING_DIVISOR).max(1)
-    }
-
     /// Returns the index of the connection that gives way first when there are too many.
     fn stalled(&self, now_ms: u64) -> Option<usize> {
         let rows = self.rows.iter().enumerate();
--- a/src/work/intake/limits.rs
+++ b/src/work/intake/limits.rs
@@ -16,6 +16,11 @@
 const PROBE_SOCKETS_DIVISOR: usize = 32;
 /// Smallest and largest number of connections to a listener of readiness or metrics.
 const PROBE_CONNECTIONS: [usize; 2] = [8, 32];
+/// Sockets and pipes of a host for its listeners, its timers and its own calls to the store.
+const OWN_SOCKETS: usize = 16;
+/// Share of the connections by which evicted ones that are not closed yet may exceed the bound, as
+/// a divisor.
+const CLOSING_DIVISOR: usize = 8;
 /// Share of the sockets for the store calls that callers cause, as a divisor.
 const STORE_CALLS_DIVISOR: usize = 16;
 /// Smallest and largest number of such calls at a time.
@@ -131,6 +136,20 @@
         (self.sockets() / STORE_CALLS_DIVISOR).clamp(least, most)
     }
 
+    /// Returns how many connections that a host has opened may be idle: what its listeners and the
+    /// store calls of others leave, less a few sockets of its own.
+    pub fn idle_connections_max(&self) -> usize {
+        let intakes = [
+            self.caller_intake(),
+            self.peer_intake(),
+            self.probe_intake(),
+            self.probe_intake(),
+        ];
+        let listeners: usize = intakes.iter().map(IntakeLimits::sockets_max).sum();
+        let others = listeners + 2 * self.store_calls_max() + OWN_SOCKETS;
+        self.sockets().saturating_sub(others)
+    }
+
     fn sockets(&self) -> usize {
         self.descriptors.saturating_sub(FILE_DESCRIPTORS)
     }
@@ -152,3 +171,11 @@
     /// Largest number of connections that wait to be accepted.
     pub backlog: u32,
 }
+
+impl IntakeLimits {
+    /// Returns the largest number of connections, evicted ones that are not closed yet included.
+    pub fn sockets_max(&self) -> usize {
+        let closing = (self.connections_max / CLOSING_DIVISOR).max(1);
+        self.connections_max + closing
+    }
+}
--- a/tests/intake.rs
+++ b/tests/intake.rs
@@ -381,3 +381,43 @@
         assert!(held <= machine.memory_bytes / 6, "{what}: {held}");
     }
 }
+
+/// Each machine's sockets are enough for all that its host may open at once, and idle connections take
+/// only what the others leave.
+#[test]
+fn idle_connections_take_what_is_left() {
+    struct IdleCase {
+        memory_mb: u64,
+        descriptors: u64,
+        idle: usize,
+    }
+    let cases = [
+        IdleCase {
+            memory_mb: 48,
+            descriptors: 400,
+            idle: 2,
+        },
+        IdleCase {
+            memory_mb: 120,
+            descriptors: 3_075,
+            idle: 1_535,
+        },
+        IdleCase {
+            memory_mb: 160,
+            descriptors: 4_100,
+            idle: 2_177,
+        },
+    ];
+    for case in cases {
+        let machine = MachineLimits::new(case.memory_mb, case.descriptors);
+        let what = format!("{} descriptors", case.descriptors);
+        let idle = machine.idle_connections_max();
+        let callers = machine.caller_intake().sockets_max();
+        let peers = machine.peer_intake().sockets_max();
+        let probes = 2 * machine.probe_intake().sockets_max();
+        let own = 16 + 2 * machine.store_calls_max();
+        let sockets = case.descriptors as usize - 200;
+        assert!(callers + peers + probes + own + idle <= sockets, "{what}");
+        assert_eq!(idle, case.idle, "{what}");
+    }
+}
