Bound a gateway's connections to runners

Cause: each request in flight has a connection to a runner, and up to six idle ones were kept for each runner however many runners there are.

Weighed: taking the place for each attempt; a runner would have been blamed for a place that was not free.

--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -107,6 +107,7 @@
         request: &RunnerRequest,
         options: SendOptions,
     ) -> Result<RunnerResponse, CallFailure> {
+        let _place = self.pool.admit(options.deadline).await?;
         lock(&self.budget).deposit();
         let mut tried: Vec<ObjectName> = Vec::new();
         let mut may_have_run = false;
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -109,6 +109,8 @@
     pub runner_slots: usize,
     pub slot_policy: SlotPolicy,
     pub runner_connections: usize,
+    /// Maximum number of connections from this host to all runners; follows from `max_fds`.
+    pub connections_max: usize,
     pub deadline: Duration,
     pub connect: Duration,
     pub attempt: Duration,
@@ -132,6 +134,7 @@
             runner_slots: count("runner_slots", raw.runner_slots, 1..=1_024)?,
             slot_policy: raw.slot_policy,
             runner_connections: count("runner_connections", raw.runner_connections, 1..=1_024)?,
+            connections_max: MachineLimits::default().runner_connections_max(),
             deadline: ms("deadline_ms", raw.deadline_ms, 10..=600_000)?,
             connect: ms("connect_ms", raw.connect_ms, 10..=60_000)?,
             attempt: ms("attempt_ms", raw.attempt_ms, 10..=600_000)?,
@@ -171,10 +174,11 @@
         raw.report
             .check()
             .map_err(|error| error.wrap_err("key report"))?;
-        let requests = RequestSettings::try_from(raw.requests.clone())?;
+        let mut requests = RequestSettings::try_from(raw.requests.clone())?;
         let call_timeout = checked_ms("call_timeout_ms", raw.call_timeout_ms, 100..=60_000)?;
         let drain = checked_ms("drain_ms", raw.drain_ms, 0..=3_600_000)?;
         let machine = MachineLimits::checked(raw.memory_mb, raw.max_fds)?;
+        requests.connections_max = machine.runner_connections_max();
         Ok(Self {
             machine,
             raw,
--- a/src/work/intake/limits.rs
+++ b/src/work/intake/limits.rs
@@ -16,7 +16,7 @@
 const PROBE_SOCKETS_DIVISOR: usize = 32;
 /// Smallest and largest number of connections to a listener of readiness or metrics.
 const PROBE_CONNECTIONS: [usize; 2] = [8, 32];
-/// Sockets and pipes of a host for its listeners, its timers and its own calls to the store.
+/// Sockets and pipes of a process for its listeners, its timers and its own calls.
 const OWN_SOCKETS: usize = 16;
 /// Share of the connections by which evicted ones that are not closed yet may exceed the bound, as
 /// a divisor.
@@ -150,6 +150,13 @@
         self.sockets().saturating_sub(others)
     }
 
+    /// Returns how many connections to runners a gateway may have open: what its callers leave, less a
+    /// few sockets of its own.
+    pub fn runner_connections_max(&self) -> usize {
+        let others = self.caller_intake().sockets_max() + OWN_SOCKETS;
+        self.sockets().saturating_sub(others).max(1)
+    }
+
     fn sockets(&self) -> usize {
         self.descriptors.saturating_sub(FILE_DESCRIPTORS)
     }
--- a/tests/support/crowd_play.rs
+++ b/tests/support/crowd_play.rs
@@ -27,7 +27,7 @@
 
 /// What each client of a crowd sends, in writes, before it falls silent and stays open.
 pub struct CrowdCase {
-    name: &'static str,
+    pub name: &'static str,
     address: fn(&DeploymentHost) -> SocketAddr,
     writes: fn() -> Vec<Vec<u8>>,
 }
@@ -87,16 +87,21 @@
     }
 }
 
+/// A deployment of one host whose limits are low.
 pub async fn start_deployment(name: &str) -> TestDeployment {
-    let builder = DeploymentBuilder::new(&format!("shape-{name}")).hosts(1);
-    let builder = builder.requests(json!({ "body_max_bytes": BODY_MAX_BYTES }));
-    let limits = json!({ "memory_mb": MEMORY_MB, "max_fds": MAX_FDS });
-    let deployment = builder.machine(limits).start().await;
+    let deployment = low_limits(name).start().await;
     let ticket = deployment.post(0, "/tickets", &first_ticket()).await;
     ticket.expect("ticket 1");
     deployment
 }
 
+/// A plan of one host whose limits are low.
+pub fn low_limits(name: &str) -> DeploymentBuilder {
+    let builder = DeploymentBuilder::new(&format!("shape-{name}")).hosts(1);
+    let builder = builder.requests(json!({ "body_max_bytes": BODY_MAX_BYTES }));
+    builder.machine(json!({ "memory_mb": MEMORY_MB, "max_fds": MAX_FDS }))
+}
+
 /// Returns what was wrong with an ordinary request and an ordinary job.
 async fn ask_ordinary(name: &str, deployment: &TestDeployment) -> Vec<String> {
     let address = deployment.entries[0].gateway_address;
@@ -137,7 +142,11 @@
 
 /// Plays one case and returns what was wrong with it.
 async fn play(case: &CrowdCase) -> Vec<String> {
-    let mut deployment = start_deployment(case.name).await;
+    play_on(start_deployment(case.name).await, case).await
+}
+
+/// Plays one case on a deployment and returns what was wrong with it.
+pub async fn play_on(mut deployment: TestDeployment, case: &CrowdCase) -> Vec<String> {
     let host = &deployment.entries[0];
     let samplers = HostSamplers::start(host);
     let address = (case.address)(host);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -53,6 +53,11 @@
         self
     }
 
+    pub fn runners(mut self, runners: usize) -> Self {
+        self.plan.runners = runners;
+        self
+    }
+
     pub fn timing(mut self, timing: Value) -> Self {
         self.plan.timing = timing;
         self
