--- a/src/work/intake/limits.rs
+++ b/src/work/intake/limits.rs
@@ -28,7 +28,7 @@
 /// Share of the memory for the buffers of callers' connections, as a divisor.
 const CONNECTION_MEMORY_DIVISOR: usize = 6;
 /// Share of the memory for what connections in the backlog of a listener have sent, as a divisor.
-const BACKLOG_MEMORY_DIVISOR: usize = 16;
+const BACKLOG_MEMORY_DIVISOR: usize = 8;
 /// Smallest and largest number of connections in a backlog.
 const BACKLOG: [usize; 2] = [32, 1_024];
 /// Share of the memory for callers' bodies, as a divisor.
@@ -39,8 +39,6 @@
 const CONNECTION_BYTES: usize = 32_768;
 /// What a connection may have received and not yet read, in bytes. It counts as memory.
 pub const RECEIVE_BUFFER_BYTES: usize = 16_384;
-/// The same for a connection that waits to be accepted.
-pub const BACKLOG_BUFFER_BYTES: usize = 4_096;
 /// Largest head of a request, and largest buffer of a connection, in bytes: header fields of 16 KB
 /// and a request line of 8 KB.
 pub const HEAD_MAX_BYTES: usize = 24_576;
@@ -126,7 +124,7 @@
 
     fn backlog(&self) -> u32 {
         let [least, most] = BACKLOG;
-        let by_memory = self.memory_bytes / BACKLOG_MEMORY_DIVISOR / BACKLOG_BUFFER_BYTES;
+        let by_memory = self.memory_bytes / BACKLOG_MEMORY_DIVISOR / RECEIVE_BUFFER_BYTES;
         by_memory.clamp(least, most) as u32
     }
 
--- a/src/work/intake/listener.rs
+++ b/src/work/intake/listener.rs
@@ -8,9 +8,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::work::intake::gate::{ConnectionSlot, IntakeGate};
-use crate::work::intake::limits::{
-    BACKLOG_BUFFER_BYTES, IntakeLimits, MachineLimits, RECEIVE_BUFFER_BYTES,
-};
+use crate::work::intake::limits::{IntakeLimits, MachineLimits, RECEIVE_BUFFER_BYTES};
 
 /// Delay before the next accept after a failed one.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
@@ -48,8 +46,8 @@
 
     /// Returns a listener with these bounds; metrics and log lines show it as `name`.
     pub fn new(listener: TcpListener, name: &'static str, limits: IntakeLimits) -> Self {
-        // Connections in the backlog inherit the size. If it cannot be set they take the system's.
-        let _ = SockRef::from(&listener).set_recv_buffer_size(BACKLOG_BUFFER_BYTES);
+        // Accepted connections inherit the size. If it cannot be set they take the system's.
+        let _ = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
         Self {
             listener,
             gate: IntakeGate::new(name, limits),
@@ -75,8 +73,6 @@
                     let Ok(slot) = self.gate.open() else {
                         continue;
                     };
-                    // A failure is ignored: larger requests are only received more slowly.
-                    let _ = SockRef::from(&stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
                     // A failure is ignored: without TCP_NODELAY responses are slower but correct.
                     let _ = stream.set_nodelay(true);
                     return (stream, slot);
