--- a/review/third_http.rs
+++ b/review/third_http.rs
@@ -39,7 +39,8 @@
 pub struct Server {
     pub address: SocketAddr,
     down: AtomicBool,
-    open: Mutex<Vec<TcpStream>>,
+    /// Open connections with their numbers.
+    open: Mutex<Vec<(u64, TcpStream)>>,
 }
 
 impl Server {
@@ -60,7 +61,7 @@
     pub fn set_down(&self, down: bool) {
         self.down.store(down, Ordering::SeqCst);
         if down {
-            for stream in self.open.lock().expect("lock").drain(..) {
+            for (_, stream) in self.open.lock().expect("lock").drain(..) {
                 let _ = stream.shutdown(Shutdown::Both);
             }
             // Wakes the listener, which then closes.
@@ -78,6 +79,7 @@
         handler: Arc<impl Fn(Call) -> Answer + Send + Sync + 'static>,
     ) {
         let mut listener = Some(first);
+        let mut number = 0;
         loop {
             if self.is_down() {
                 listener = None;
@@ -96,12 +98,16 @@
                 continue;
             }
             let _ = stream.set_nodelay(true);
+            number += 1;
             if let Ok(copy) = stream.try_clone() {
-                self.open.lock().expect("lock").push(copy);
+                self.open.lock().expect("lock").push((number, copy));
             }
-            let handler = Arc::clone(&handler);
+            let (server, handler) = (Arc::clone(&self), Arc::clone(&handler));
             thread::spawn(move || {
+                // A connection that breaks is of no interest to the server.
                 let _ = serve(stream, &*handler);
+                let mut open = server.open.lock().expect("lock");
+                open.retain(|connection| connection.0 != number);
             });
         }
     }
