Observe the owner's loop, claims of the pool and work by decision

Callers on a pool of 1,100 upstreams saw LOST and SHORT while the pool changed hands under a living owner. Logs could not tell what filled the owner's thread: one long decision, a flood of answers, or the store.

- Once a second the owner logs its longest turn, gap between turns and time until an append's confirmation was handled, with the renewals, ends and placements handled and the steps that decisions took; histograms and a counter by kind say the same.
- A host that claims the pool logs on what the claim rests: silence counted, age of the last heartbeat and of the store's last answer.
- Steps are counted, not times, so that tests can hold the cost of one event against the size of the pool on any machine.

No decision is changed.

--- a/src/work/owner/ends.rs
+++ b/src/work/owner/ends.rs
@@ -9,6 +9,7 @@
 use crate::work::owner::failure_ledger::EXCLUSION_SCORE;
 use crate::work::owner::renewals::UNRECORDED_RENEW_PAUSE_MS;
 use crate::work::owner::unit_state::UnitPhase;
+use crate::work::owner::work_counts::WorkKind;
 
 /// The former module path; operators filter log lines by it.
 const LOG_TARGET: &str = "hemlockramp::work::owner::replies";
@@ -46,6 +47,7 @@
         );
         let how = end_label(end.kind);
         metrics::counter!("hemlockramp_runs_ended_total", "how" => how).increment(1);
+        self.counts.add(WorkKind::End, 1);
         let Some((job, unit, member)) = found else {
             metrics::counter!("hemlockramp_stray_ends_total", "how" => how).increment(1);
             if end.kind == EndKind::Done {
@@ -125,6 +127,8 @@
     /// Brings the failure scores of all upstreams up to date. An upstream that turns out not to be to
     /// blame is no longer excluded.
     fn score_failures(&mut self) {
+        let rows = self.upstreams.len() * self.failures.len();
+        self.counts.add(WorkKind::BlameStep, rows);
         for upstream in &mut self.upstreams {
             upstream.failure_score = self.failures.score(&upstream.name);
             if upstream.failure_score < EXCLUSION_SCORE {
--- a/src/work/owner/failure_ledger.rs
+++ b/src/work/owner/failure_ledger.rs
@@ -112,6 +112,11 @@
         self.rows.iter().map(|row| row.score(upstream)).sum()
     }
 
+    /// Returns the number of steps with failures.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
     /// Returns whether there are no failures.
     pub fn is_empty(&self) -> bool {
         self.rows.is_empty()
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -34,6 +34,7 @@
 pub mod unit_state;
 pub mod upstream_state;
 mod waiting;
+pub mod work_counts;
 
 pub use recording::RowBatch;
 pub use timing::OwnerTiming;
@@ -53,6 +54,7 @@
 use crate::work::owner::loss_proof::LossProof;
 use crate::work::owner::unit_state::{MemberPhase, UnitPhase};
 use crate::work::owner::upstream_state::{LEASE_EXPIRY_MARGIN_MS, UpstreamState};
+use crate::work::owner::work_counts::WorkCounts;
 use crate::work::placing::speed::table::SpeedTable;
 
 /// Longest time between two placement rounds, in ms.
@@ -111,6 +113,7 @@
     next_speed_rows_ms: u64,
     /// Latest time until which leases granted by earlier owners may last, steady ms.
     prior_leases_expire_ms: u64,
+    counts: WorkCounts,
 }
 
 impl PoolOwner {
@@ -145,6 +148,7 @@
             speeds: SpeedTable::default(),
             next_speed_rows_ms: 0,
             prior_leases_expire_ms: now.steady_ms + prior_leases_ms,
+            counts: WorkCounts::default(),
         }
     }
 
@@ -168,6 +172,17 @@
         &self.upstreams
     }
 
+    /// Returns the work done in this term.
+    pub fn counts(&self) -> &WorkCounts {
+        &self.counts
+    }
+
+    /// Returns how many upstreams that may hold tasks have not answered this owner yet.
+    pub fn unreconciled(&self) -> usize {
+        let open = |upstream: &&UpstreamState| !upstream.reconciled && !upstream.held.is_empty();
+        self.upstreams.iter().filter(open).count()
+    }
+
     /// Sets the time at which the following events happen.
     pub fn set_time(&mut self, now: HostTime) {
         self.now = now;
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -11,6 +11,7 @@
 use crate::work::owner::unit_state::{MemberPhase, MemberState, UnitPhase};
 use crate::work::owner::upstream_state::HeldTask;
 use crate::work::owner::waiting::WaitingStep;
+use crate::work::owner::work_counts::WorkKind;
 use crate::work::placing::locality_wait::LocalityWait;
 use crate::work::placing::placement::{
     CandidateUpstream, CapacityClaim, Isolation, UnitDemand, claim_rank, fits_in_one_rack,
@@ -87,6 +88,7 @@
     }
 
     pub(super) fn placement_pool(&self, pool: &ObjectName) -> PlacementPool {
+        self.counts.add(WorkKind::SearchStep, self.upstreams.len());
         let now_ms = self.now.steady_ms;
         let mut result = PlacementPool {
             name: pool.clone(),
@@ -246,6 +248,7 @@
             if pool.needs_excluded(priority, &demand, &claim) {
                 *pool = pool.with_excluded();
             }
+            self.count_search(&demand, pool.excluded.len() + pool.candidates.len());
             if !pool.leaves_headroom(priority, &demand) {
                 self.log_wait(job, unit, "headroom for urgent work", pool);
                 return;
@@ -279,6 +282,13 @@
         }
     }
 
+    /// Counts a search of room for a unit. Each placed sibling is compared with each candidate.
+    pub(super) fn count_search(&self, demand: &UnitDemand, candidates: usize) {
+        let siblings = demand.siblings.len();
+        self.counts
+            .add(WorkKind::SearchStep, candidates * (1 + siblings));
+    }
+
     /// Logs why a unit waits, once for each wait.
     fn log_wait(&mut self, job: usize, unit: usize, reason: &str, pool: &PlacementPool) {
         let state = &mut self.jobs[job];
@@ -301,6 +311,7 @@
         chosen: &[usize],
         demand: &UnitDemand,
     ) {
+        self.counts.add(WorkKind::Placement, 1);
         let isolated = demand.isolation == Isolation::Required;
         let speed = PlacedSpeed::new(chosen, demand, pool);
         speed.record(self.rule(job).priority);
@@ -348,6 +359,7 @@
 
     /// Releases the capacity reserved for a unit.
     fn release_reservation(&mut self, job: &ObjectName, unit: usize, pool: &mut PlacementPool) {
+        self.counts.add(WorkKind::SearchStep, pool.candidates.len());
         for (candidate, &index) in pool.candidates.iter_mut().zip(&pool.upstream_indexes) {
             let reservation = candidate.reserved.as_ref();
             if reservation.is_some_and(|claim| claim.job == *job && claim.unit == unit) {
--- a/src/work/owner/preemption.rs
+++ b/src/work/owner/preemption.rs
@@ -8,6 +8,7 @@
 use crate::work::owner::PoolOwner;
 use crate::work::owner::placement_pool::PlacementPool;
 use crate::work::owner::unit_state::UnitPhase;
+use crate::work::owner::work_counts::WorkKind;
 use crate::work::placing::placement::{CandidateUpstream, CapacityClaim, UnitDemand, place_unit};
 
 /// The former module path; operators filter log lines by it.
@@ -186,6 +187,7 @@
         is_removed: impl Fn(usize, usize) -> bool,
     ) -> Vec<CandidateUpstream> {
         let mut candidates = pool.candidates.clone();
+        self.counts.add(WorkKind::SearchStep, candidates.len());
         for (candidate, &index) in candidates.iter_mut().zip(&pool.upstream_indexes) {
             for held in &self.upstreams[index].held {
                 let job = self.job_index(&held.job);
--- a/src/work/owner/renewals.rs
+++ b/src/work/owner/renewals.rs
@@ -10,6 +10,7 @@
     StartConditions, StartObstacle, StartStage, StartVerdict, start_verdict,
 };
 use crate::work::owner::unit_state::{MemberPhase, StopProgress, UnitPhase};
+use crate::work::owner::work_counts::WorkKind;
 use crate::work::owner::{PendingStart, PoolOwner, UpstreamOrder};
 
 /// How long an upstream may hold a renewal open until a run ends, in ms.
@@ -28,6 +29,7 @@
 impl PoolOwner {
     /// Gives up the tasks of silent upstreams whose leases are over.
     pub(super) fn expire_silent_leases(&mut self) {
+        self.counts.add(WorkKind::ScanStep, self.upstreams.len());
         let now_ms = self.now.steady_ms;
         for index in 0..self.upstreams.len() {
             let upstream = &self.upstreams[index];
@@ -58,6 +60,7 @@
 
     /// Sends the renewals that are due.
     pub(super) fn renew_upstreams(&mut self) {
+        self.counts.add(WorkKind::ScanStep, self.upstreams.len());
         let now_ms = self.now.steady_ms;
         for index in 0..self.upstreams.len() {
             let upstream = &mut self.upstreams[index];
@@ -123,6 +126,8 @@
             if !std::mem::take(&mut self.jobs[job].orders_due) && !all {
                 continue;
             }
+            self.counts
+                .add(WorkKind::ScanStep, self.jobs[job].units.len());
             for unit in 0..self.jobs[job].units.len() {
                 let phase = self.jobs[job].units[unit].phase;
                 if matches!(phase, UnitPhase::Waiting | UnitPhase::Done) {
--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -9,6 +9,7 @@
     StopOrder,
 };
 use crate::work::owner::unit_state::{MemberPhase, StopProgress};
+use crate::work::owner::work_counts::WorkKind;
 use crate::work::owner::{PoolOwner, UpstreamOrder};
 
 /// How long an upstream that refused a start gets no new work, in ms.
@@ -198,6 +199,7 @@
     }
 
     fn reconcile(&mut self, index: usize, reply: RenewReply) {
+        self.counts.add(WorkKind::Renewal, 1);
         let now_ms = self.now.steady_ms;
         let name = self.upstreams[index].name.clone();
         let reading = ClockReading {
--- a/src/work/owner_loop/job_writer.rs
+++ b/src/work/owner_loop/job_writer.rs
@@ -4,7 +4,7 @@
 
 use crate::work::clock::steady_ms;
 use crate::work::model::record::{JobRowKind, WorkRecord, removed_row};
-use crate::work::model::stream::{KeyedValue, StoreFailure, StreamRecord};
+use crate::work::model::stream::{KeyedValue, StoreFailure, StreamName, StreamRecord};
 use crate::work::owner_loop::OwnerLoop;
 use crate::work::owner_loop::claim::owner_record;
 use crate::work::owner_loop::jobs_item::JobsItem;
@@ -66,6 +66,8 @@
             });
         let Err(stop) = appended.await else {
             self.ownership.confirm(sent_ms);
+            let took_ms = steady_ms().saturating_sub(sent_ms);
+            self.meter.record_append(StreamName::Jobs, took_ms);
             return true;
         };
         for item in stop.failed {
--- a/src/work/owner_loop/mod.rs
+++ b/src/work/owner_loop/mod.rs
@@ -13,6 +13,7 @@
 mod orders;
 mod ownership;
 mod report_sink;
+mod turn_meter;
 mod writer;
 
 use std::cell::{Cell, RefCell};
@@ -30,6 +31,7 @@
 use crate::work::owner_loop::job_rows::JobRows;
 use crate::work::owner_loop::ownership::Ownership;
 use crate::work::owner_loop::report_sink::ReportSink;
+use crate::work::owner_loop::turn_meter::TurnMeter;
 use crate::work::owner_loop::writer::{ItemOutcome, OwnerWriter};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 use crate::work::state::context::HostContext;
@@ -76,11 +78,21 @@
     let mut election = context.election.borrow_mut();
     election.record_ready(now_ms);
     let allowance_ms = context.store.health(StreamName::Jobs).allowance_ms();
-    election.should_claim(
-        context.jobs_view.borrow().owner.as_ref(),
-        now_ms,
-        allowance_ms,
-    )
+    let jobs_view = context.jobs_view.borrow();
+    let owner = jobs_view.owner.as_ref();
+    if !election.should_claim(owner, now_ms, allowance_ms) {
+        return false;
+    }
+    let evidence = election.evidence(now_ms);
+    log::info!(
+        owner = owner.map_or("", |row| row.record.host.as_str()),
+        term = owner.map_or(0, |row| row.record.term),
+        released = owner.is_some_and(|row| row.record.released),
+        silence_ms = evidence.silence_ms, heartbeat_age_ms:? = evidence.heartbeat_age_ms,
+        answer_age_ms:? = evidence.answer_age_ms, allowance_ms;
+        "owner: this host claims the pool."
+    );
+    true
 }
 
 /// The loop that one host runs during one term as owner. Clones share its state.
@@ -98,6 +110,7 @@
     job_wake: Rc<Notify>,
     /// When old jobs are removed next, steady ms.
     next_removal_ms: Rc<Cell<u64>>,
+    meter: Rc<TurnMeter>,
 }
 
 impl<S, O, R> Clone for OwnerLoop<S, O, R> {
@@ -114,6 +127,7 @@
             job_rows: Rc::clone(&self.job_rows),
             job_wake: Rc::clone(&self.job_wake),
             next_removal_ms: Rc::clone(&self.next_removal_ms),
+            meter: Rc::clone(&self.meter),
         }
     }
 }
@@ -142,6 +156,7 @@
             job_rows: Rc::default(),
             job_wake: Rc::default(),
             next_removal_ms: Rc::default(),
+            meter: Rc::new(TurnMeter::new(term, steady_ms())),
         }
     }
 
@@ -170,7 +185,14 @@
                 () = self.context.owner_wake.notified() => {}
                 () = pause => {}
             }
+            let began_ms = steady_ms();
             self.tick();
+            self.meter.record_turn(began_ms, steady_ms());
+            let _ = self.with_owner(|owner| {
+                let counts = owner.counts();
+                self.meter
+                    .summarize(steady_ms(), counts, owner.unreconciled());
+            });
         }
         metrics::gauge!("hemlockramp_owner").set(0.0);
         self.job_wake.notify_one();
@@ -311,6 +333,8 @@
                 return;
             }
             self.ownership.confirm(sent_ms);
+            let took_ms = steady_ms().saturating_sub(sent_ms);
+            self.meter.record_append(StreamName::Runs, took_ms);
         }
         let _ = self.with_owner(|owner| {
             owner.set_time(host_time());
--- a/src/work/state/election.rs
+++ b/src/work/state/election.rs
@@ -19,6 +19,17 @@
 /// Low bits of a term that distinguish rivals for it.
 const TERM_NONCE_BITS: u32 = 16;
 
+/// What a host knows of the pool's owner when it claims the pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClaimEvidence {
+    /// Time without a heartbeat, counted while the store answers, in ms.
+    pub silence_ms: u64,
+    /// Time since the owner's last heartbeat was read, in ms; none before the first answer.
+    pub heartbeat_age_ms: Option<u64>,
+    /// Time since the store's last answer, in ms; none before the first.
+    pub answer_age_ms: Option<u64>,
+}
+
 /// Decides from the owner's heartbeats when this host should claim the pool.
 #[derive(Clone, Debug)]
 pub struct ElectionTimer {
@@ -91,6 +102,16 @@
         }
     }
 
+    /// Returns on what a claim rests at this time.
+    pub fn evidence(&self, now_ms: u64) -> ClaimEvidence {
+        let age = |at_ms: Option<u64>| at_ms.map(|at| now_ms.saturating_sub(at));
+        ClaimEvidence {
+            silence_ms: self.silence_ms,
+            heartbeat_age_ms: age(self.heartbeat_ms),
+            answer_age_ms: age(self.answered_ms),
+        }
+    }
+
     fn stagger_ms(&self, longest_ms: u64) -> u64 {
         (self.rank * longest_ms as f64) as u64
     }
