--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod crowd_shapes;
 pub mod deployment_host;
 pub mod deployment_plan;
+pub mod deployment_signals;
 pub mod fault;
 pub mod host_list;
 pub mod log_service;
--- a/standins/src/test_deployment.rs
+++ b/standins/src/test_deployment.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::net::SocketAddr;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 pub use crate::deployment_plan::{DaemonCommand, DeploymentPlan};
 use crate::host_list::{HostList, SharedHosts, start_hosts};
 use crate::log_service::{LogService, SharedLog, start_log};
-use crate::process::{any_port, kill, send_signal};
+use crate::process::{any_port, kill};
 use crate::run_invariants::{RunFindings, check_runs};
 use crate::runner::{Runner, SharedRunner, start_runner};
 use crate::worker::{SharedWorker, Worker, start_worker};
@@ -294,16 +294,6 @@
         Ok(())
     }
 
-    /// Kills a scheduler with SIGKILL, to simulate a power failure.
-    pub fn kill_scheduler(&mut self, index: usize) {
-        kill(self.entries[index].scheduler.take());
-    }
-
-    /// Kills a gateway with SIGKILL, to simulate a power failure.
-    pub fn kill_gateway(&mut self, index: usize) {
-        kill(self.entries[index].gateway.take());
-    }
-
     /// Returns the violated invariants that workers and runners recorded, and those found in
     /// the workers' runs.
     pub fn violations(&self) -> Vec<String> {
@@ -326,46 +316,6 @@
         check_runs(&runs.collect::<Vec<_>>())
     }
 
-    /// Suspends a scheduler process (SIGSTOP) or resumes it (SIGCONT).
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the process is not running or the signal cannot be sent.
-    pub fn freeze_scheduler(&self, index: usize, frozen: bool) -> Result<(), Report> {
-        let name = if frozen { "-STOP" } else { "-CONT" };
-        send_signal(self.entries[index].scheduler.as_ref(), name)
-    }
-
-    /// Asks a gateway to shut down (SIGTERM).
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the process is not running or the signal cannot be sent.
-    pub fn terminate_gateway(&self, index: usize) -> Result<(), Report> {
-        send_signal(self.entries[index].gateway.as_ref(), "-TERM")
-    }
-
-    /// Asks a scheduler to shut down (SIGTERM).
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the process is not running or the signal cannot be sent.
-    pub fn terminate_scheduler(&self, index: usize) -> Result<(), Report> {
-        send_signal(self.entries[index].scheduler.as_ref(), "-TERM")
-    }
-
-    /// Waits for a gateway's process to end.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if the gateway was not started or was killed.
-    pub fn wait_gateway_end(&mut self, index: usize) -> Result<ExitStatus, Report> {
-        let child = self.entries[index].gateway.take();
-        Ok(child
-            .ok_or_else(|| eyre!("gateway {index} is not running"))?
-            .wait()?)
-    }
-
     /// Stops the daemons and the fake servers.
     pub async fn close(mut self) {
         // The servers are dropped, not closed: a graceful close would wait for calls that hang
