Bound the answers that the owner handles in a turn

Callers saw accepted work lost and too little served on a pool of 1,100 upstreams: the owner lost its term while it lived. Each order was a task that handled its answer itself, in one queue with the writer of heartbeats and the connections to the store, so that as many answers as had come stood before a heartbeat or its confirmation. Nothing bounded them, and a slow decision made each of them long.

Answers now go into an inbox. The answer to the oldest order goes first, as its lease ends first; one that was asked for at once goes before it, since ends are acknowledged only right after an answer. One renewal an upstream and one order a member in flight bound the inbox. Renewals of a tick are sent before its other orders.

What rests on an answer's age now rests on its arrival, and what is safe only if it is late rests on its handling: readings of clocks, the 250 ms within which ends are acknowledged, and progress take the former, the waits for leases and for stops the latter. A reading that waited while a newer one was taken does not prove a later life.

--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -17,6 +17,7 @@
 mod placement_pool;
 pub mod planning;
 mod preemption;
+mod put_off;
 mod reconcile;
 mod recording;
 pub mod renewals;
@@ -100,6 +101,8 @@
     final_rows: Vec<KeyedValue>,
     rows_to_drop: Vec<String>,
     now: HostTime,
+    /// When the answer or report in hand arrived, steady ms; earlier than `now` if it had to wait.
+    arrived_ms: u64,
     placement_due: bool,
     /// Time of the last placement round, steady ms.
     last_placement_ms: u64,
@@ -140,6 +143,7 @@
             final_rows: Vec::new(),
             rows_to_drop: Vec::new(),
             now,
+            arrived_ms: now.steady_ms,
             placement_due: true,
             last_placement_ms: 0,
             next_order_scan_ms: 0,
@@ -186,6 +190,14 @@
     /// Sets the time at which the following events happen.
     pub fn set_time(&mut self, now: HostTime) {
         self.now = now;
+        self.arrived_ms = now.steady_ms;
+    }
+
+    /// Sets the time at which the following answer is handled, and when it arrived, steady ms. What
+    /// the answer shows held no later than at its arrival.
+    pub fn set_answer_time(&mut self, now: HostTime, arrived_ms: u64) {
+        self.now = now;
+        self.arrived_ms = arrived_ms.min(now.steady_ms);
     }
 
     /// Applies a new configuration.
@@ -307,7 +319,7 @@
 
     /// Does everything that is due. Call after events and at least every 100 ms.
     pub fn tick(&mut self, now: HostTime) {
-        self.now = now;
+        self.set_time(now);
         self.expire_silent_leases();
         self.leave_departing();
         let passed_ms = now.steady_ms.saturating_sub(self.last_placement_ms);
--- a/src/work/owner/reconcile.rs
+++ b/src/work/owner/reconcile.rs
@@ -12,7 +12,7 @@
 
 impl PoolOwner {
     pub(super) fn reconcile_running(&mut self, name: &ObjectName, reply: &RenewReply) {
-        let now_ms = self.now.steady_ms;
+        let arrived_ms = self.arrived_ms;
         let incarnation = self
             .upstream_index(name)
             .map_or(0, |index| self.upstreams[index].incarnation);
@@ -27,7 +27,7 @@
             self.note_life(job, unit, member, incarnation);
             let state = &mut self.jobs[job].units[unit].members[member];
             state.percent = running.percent;
-            state.reported_ms = now_ms;
+            state.reported_ms = arrived_ms;
             if state.phase == MemberPhase::Sent && !state.in_flight {
                 state.phase = MemberPhase::Running;
                 self.set_phase(job, JobPhase::Running);
--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -34,7 +34,7 @@
                     "owner: a run has started."
                 );
                 state.phase = MemberPhase::Running;
-                state.began_ms = now_ms;
+                state.began_ms = self.arrived_ms;
                 self.confirm_member(job, unit, member, clock_ms);
                 if !self.jobs[job].phase.is_over() {
                     self.set_phase(job, JobPhase::Running);
@@ -202,9 +202,10 @@
         self.counts.add(WorkKind::Renewal, 1);
         let now_ms = self.now.steady_ms;
         let name = self.upstreams[index].name.clone();
+        let arrived_ms = self.arrived_ms;
         let reading = ClockReading {
             shown_ms: reply.clock_ms,
-            arrived_ms: now_ms,
+            arrived_ms,
         };
         let incarnation = self.upstreams[index].incarnation;
         let born_earlier = reply.incarnation != 0 && reply.incarnation < incarnation;
@@ -232,7 +233,7 @@
         self.placement_due |= !upstream.reconciled;
         upstream.reconciled = true;
         upstream.gave_up_runs = false;
-        upstream.answered_ms = now_ms;
+        upstream.answered_ms = arrived_ms;
         upstream.missed_renewals = 0;
         upstream.clock = Some(upstream.clock.map_or(reading, |old| old.later(reading)));
         upstream.next_renewal_ms = now_ms;
--- a/src/work/owner/speeds.rs
+++ b/src/work/owner/speeds.rs
@@ -162,7 +162,7 @@
 
     fn end_sample(&self, job: usize, unit: usize) -> Option<RunSample> {
         let began_ms = self.jobs[job].units[unit].began_ms()?;
-        let elapsed_ms = self.now.steady_ms.saturating_sub(began_ms);
+        let elapsed_ms = self.arrived_ms.saturating_sub(began_ms);
         RunSample::of_end(elapsed_ms, self.run_estimate_ms(job, unit))
     }
 
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -212,8 +212,11 @@
     /// Returns whether a reading is of a life that started after the known one: each life counts its clock
     /// anew. Times of birth are of a wall clock, which may have been set back between two lives.
     pub fn started_later(&self, reading: ClockReading) -> bool {
-        self.clock
-            .is_some_and(|known| reading.shown_ms < known.lower_bound_ms(reading.arrived_ms))
+        self.clock.is_some_and(|known| {
+            // One that waited here may be older than the known reading, and then shows less.
+            reading.arrived_ms >= known.arrived_ms
+                && reading.shown_ms < known.lower_bound_ms(reading.arrived_ms)
+        })
     }
 
     /// Allows for leases from orders that were meant for the previous incarnation. Their ends were
--- a/src/work/owner_loop/mod.rs
+++ b/src/work/owner_loop/mod.rs
@@ -5,6 +5,7 @@
 //! confirmed within the ownership timeout. It releases the pool when its host shuts down or a
 //! large host can replace a small one.
 
+pub mod answer_inbox;
 mod claim;
 mod claimed_term;
 mod job_rows;
@@ -13,7 +14,10 @@
 mod orders;
 mod ownership;
 mod report_sink;
+pub mod turn_budget;
 mod turn_meter;
+mod turns;
+pub mod upstream_answer;
 mod writer;
 
 use std::cell::{Cell, RefCell};
@@ -26,6 +30,7 @@
 use crate::work::model::record::WorkRecord;
 use crate::work::model::stream::{KeyedValue, StreamName};
 use crate::work::owner::{PoolOwner, RowBatch};
+use crate::work::owner_loop::answer_inbox::AnswerInbox;
 use crate::work::owner_loop::claim::{claim, owner_record};
 use crate::work::owner_loop::claimed_term::ClaimedTerm;
 use crate::work::owner_loop::job_rows::JobRows;
@@ -40,8 +45,6 @@
 
 /// Interval at which a host checks whether it should claim the pool.
 const ELECTION_POLL_MS: u64 = 50;
-/// Longest interval between two ticks of the owner's loop.
-const TICK_INTERVAL_MAX_MS: u64 = 60;
 /// Delay after a failed claim of the pool.
 const CLAIM_RETRY_MS: u64 = 150;
 /// Interval at which the owner removes old jobs, in ms.
@@ -104,6 +107,7 @@
     ended: Rc<Cell<bool>>,
     recording: Rc<Cell<bool>>,
     ownership: Rc<Ownership>,
+    inbox: Rc<RefCell<AnswerInbox>>,
     runs: Rc<OwnerWriter>,
     jobs: Rc<OwnerWriter>,
     job_rows: Rc<RefCell<JobRows>>,
@@ -122,6 +126,7 @@
             ended: Rc::clone(&self.ended),
             recording: Rc::clone(&self.recording),
             ownership: Rc::clone(&self.ownership),
+            inbox: Rc::clone(&self.inbox),
             runs: Rc::clone(&self.runs),
             jobs: Rc::clone(&self.jobs),
             job_rows: Rc::clone(&self.job_rows),
@@ -151,6 +156,7 @@
             ended: Rc::default(),
             recording: Rc::default(),
             ownership: Rc::new(Ownership::new(claimed, timeout_ms)),
+            inbox: Rc::default(),
             runs: writer(StreamName::Runs),
             jobs: writer(StreamName::Jobs),
             job_rows: Rc::default(),
@@ -179,21 +185,7 @@
         let store = self.context.store.clone();
         tokio::task::spawn_local(StreamFollower::new(store, StreamName::Upstreams, sink).run());
         tokio::task::spawn_local(self.clone().write_jobs());
-        while !self.ended.get() {
-            let pause = tokio::time::sleep(Duration::from_millis(TICK_INTERVAL_MAX_MS));
-            tokio::select! {
-                () = self.context.owner_wake.notified() => {}
-                () = pause => {}
-            }
-            let began_ms = steady_ms();
-            self.tick();
-            self.meter.record_turn(began_ms, steady_ms());
-            let _ = self.with_owner(|owner| {
-                let counts = owner.counts();
-                self.meter
-                    .summarize(steady_ms(), counts, owner.unreconciled());
-            });
-        }
+        self.take_turns().await;
         metrics::gauge!("hemlockramp_owner").set(0.0);
         self.job_wake.notify_one();
     }
--- a/src/work/owner_loop/orders.rs
+++ b/src/work/owner_loop/orders.rs
@@ -2,12 +2,14 @@
 
 use crate::work::clock::steady_ms;
 use crate::work::owner::UpstreamOrder;
+use crate::work::owner_loop::upstream_answer::UpstreamAnswer;
 use crate::work::owner_loop::{OwnerLoop, UNCONFIRMED};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 
 impl<S: StorePort, O: OrderPort, R: RecordReader> OwnerLoop<S, O, R> {
-    /// Sends orders, each in a task of its own.
-    pub(super) fn send_orders(&self, orders: Vec<UpstreamOrder>) {
+    /// Sends orders, each in a task of its own. Renewals go first, since leases depend on them.
+    pub(super) fn send_orders(&self, mut orders: Vec<UpstreamOrder>) {
+        orders.sort_by_key(|order| !matches!(order, UpstreamOrder::Renew(_)));
         for order in orders {
             tokio::task::spawn_local(self.clone().execute_order(order));
         }
@@ -17,20 +19,22 @@
         if !self.may_send() {
             return;
         }
-        match order {
+        let sent_ms = steady_ms();
+        let answer = match order {
             UpstreamOrder::Start(order) => {
                 let outcome = self.context.orders.start(&order).await;
-                self.update_owner(|owner| owner.on_started(&order, outcome));
+                UpstreamAnswer::Started(order, outcome)
             }
             UpstreamOrder::Stop(order) => {
                 let result = self.context.orders.stop(&order).await;
-                self.update_owner(|owner| owner.on_stopped(&order, result));
+                UpstreamAnswer::Stopped(order, result)
             }
             UpstreamOrder::Renew(order) => {
                 let result = self.context.orders.renew(&order).await;
-                self.update_owner(|owner| owner.on_renewed(&order, result));
+                UpstreamAnswer::Renewed(order, result)
             }
-        }
+        };
+        self.deliver(answer, sent_ms);
     }
 
     /// Returns whether an order may still go out, and ends the term if it has run out. The process
--- a/src/work/owner_loop/turn_meter.rs
+++ b/src/work/owner_loop/turn_meter.rs
@@ -14,12 +14,30 @@
 /// Interval between two summaries in the log, in ms.
 const SUMMARY_INTERVAL_MS: u64 = 1_000;
 
+/// A turn of the loop.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TurnRecord {
+    /// Begin, steady ms.
+    pub(super) began_ms: u64,
+    /// When the last answer was handled, steady ms.
+    pub(super) answered_ms: u64,
+    /// End, steady ms.
+    pub(super) ended_ms: u64,
+    /// Age of the oldest answer at the begin, in ms.
+    pub(super) oldest_answer_ms: u64,
+    /// Answers that still wait.
+    pub(super) waiting: usize,
+}
+
 /// Measures since the last summary, in ms.
 #[derive(Clone, Copy, Debug, Default)]
 struct TurnPeaks {
     turns: u64,
     longest_turn_ms: u64,
+    longest_tick_ms: u64,
     longest_gap_ms: u64,
+    oldest_answer_ms: u64,
+    most_waiting: usize,
     longest_jobs_append_ms: u64,
     longest_runs_append_ms: u64,
 }
@@ -51,15 +69,24 @@
     }
 
     /// Records a turn.
-    pub(super) fn record_turn(&self, began_ms: u64, ended_ms: u64) {
-        let turn_ms = ended_ms.saturating_sub(began_ms);
-        let gap_ms = began_ms.saturating_sub(self.turned_ms.replace(ended_ms));
-        metrics::histogram!("hemlockramp_owner_turn_seconds").record(turn_ms as f64 / 1_000.0);
-        metrics::histogram!("hemlockramp_owner_gap_seconds").record(gap_ms as f64 / 1_000.0);
+    pub(super) fn record_turn(&self, turn: &TurnRecord) {
+        let turn_ms = turn.ended_ms.saturating_sub(turn.began_ms);
+        let tick_ms = turn.ended_ms.saturating_sub(turn.answered_ms);
+        let turned_ms = self.turned_ms.replace(turn.ended_ms);
+        let gap_ms = turn.began_ms.saturating_sub(turned_ms);
+        let seconds = |span_ms: u64| span_ms as f64 / 1_000.0;
+        metrics::histogram!("hemlockramp_owner_turn_seconds").record(seconds(turn_ms));
+        metrics::histogram!("hemlockramp_owner_gap_seconds").record(seconds(gap_ms));
+        metrics::gauge!("hemlockramp_owner_oldest_answer_seconds")
+            .set(seconds(turn.oldest_answer_ms));
+        metrics::gauge!("hemlockramp_owner_waiting_answers").set(turn.waiting as f64);
         let mut peaks = self.peaks.get();
         peaks.turns += 1;
         peaks.longest_turn_ms = peaks.longest_turn_ms.max(turn_ms);
+        peaks.longest_tick_ms = peaks.longest_tick_ms.max(tick_ms);
         peaks.longest_gap_ms = peaks.longest_gap_ms.max(gap_ms);
+        peaks.oldest_answer_ms = peaks.oldest_answer_ms.max(turn.oldest_answer_ms);
+        peaks.most_waiting = peaks.most_waiting.max(turn.waiting);
         self.peaks.set(peaks);
     }
 
@@ -94,7 +121,9 @@
         log::info!(
             target: LOG_TARGET,
             term = self.term, age_ms = now_ms.saturating_sub(self.began_ms), interval_ms,
-            turns = peaks.turns, turn_ms = peaks.longest_turn_ms, gap_ms = peaks.longest_gap_ms,
+            turns = peaks.turns, turn_ms = peaks.longest_turn_ms, tick_ms = peaks.longest_tick_ms,
+            gap_ms = peaks.longest_gap_ms, oldest_answer_ms = peaks.oldest_answer_ms,
+            waiting_answers = peaks.most_waiting,
             jobs_append_ms = peaks.longest_jobs_append_ms,
             runs_append_ms = peaks.longest_runs_append_ms, unreconciled,
             renewals = work(WorkKind::Renewal), ends = work(WorkKind::End),
--- a/tests/support/memory_store.rs
+++ b/tests/support/memory_store.rs
@@ -87,6 +87,7 @@
 /// A stamped append that the store has confirmed.
 #[derive(Clone, Copy, Debug)]
 pub struct ConfirmedAppend {
+    pub stream: StreamName,
     pub epoch: u64,
     /// When its caller sent it, steady ms.
     pub sent_ms: u64,
@@ -178,6 +179,21 @@
         of_term.map(|append| append.sent_ms).max()
     }
 
+    /// Returns the longest time without an owner's append to the jobs stream since a time, in ms.
+    pub fn longest_silence_ms(&self, since_ms: u64) -> u64 {
+        let confirmed = self.state.confirmed.borrow();
+        let of_jobs = confirmed
+            .iter()
+            .filter(|append| append.stream == StreamName::Jobs && append.sent_ms >= since_ms);
+        let mut longest_ms = 0;
+        let mut before_ms = since_ms;
+        for sent_ms in of_jobs.map(|append| append.sent_ms).chain([steady_ms()]) {
+            longest_ms = longest_ms.max(sent_ms - before_ms);
+            before_ms = sent_ms;
+        }
+        longest_ms
+    }
+
     fn holds_read(&self, wait_ms: u64) -> bool {
         match self.state.held_reads.get() {
             HeldReads::None => false,
@@ -221,7 +237,11 @@
                 let reply = memory.append(entries, stamp.as_ref(), *expected_end)?;
                 if let Some(stamp) = stamp {
                     let epoch = stamp.epoch;
-                    let append = ConfirmedAppend { epoch, sent_ms };
+                    let append = ConfirmedAppend {
+                        stream: *stream,
+                        epoch,
+                        sent_ms,
+                    };
                     self.state.confirmed.borrow_mut().push(append);
                 }
                 Ok(reply)
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
 pub mod crowd_play;
+pub mod crowded_pool;
 pub mod fold;
 pub mod log;
 pub mod memory_store;
