--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -42,9 +42,18 @@
 pub fn send_signal(child: Option<&Child>, signal: &str) -> Result<(), Report> {
     let child = child
         .ok_or_else(|| eyre!("cannot send {signal}: the process was not started or was killed"))?;
+    signal_process(child.id(), signal)
+}
+
+/// Sends a signal to a process by its id.
+///
+/// # Errors
+///
+/// Fails if the signal cannot be sent.
+pub fn signal_process(process: u32, signal: &str) -> Result<(), Report> {
     let status = Command::new("kill")
         .arg(signal)
-        .arg(child.id().to_string())
+        .arg(process.to_string())
         .status()?;
     ensure!(status.success(), "`kill {signal}` failed: {status}");
     Ok(())
