Apply a long answer of the store in parts

The follower of a stream applied all records of an answer at once, up to 512 kB of them, and on a host that owns the pool each job and report changes the owner's state. Heartbeats and confirmations waited behind it. Other tasks now run after each 64 records. The new test failed before: 1,100 records between two chances of the other tasks.

--- a/src/work/state/context.rs
+++ b/src/work/state/context.rs
@@ -20,7 +20,7 @@
 use crate::work::state::active_config::ActiveConfig;
 use crate::work::state::election::ElectionTimer;
 use crate::work::state::jobs_view::{JobsView, ViewChange};
-use crate::work::store::follow::list_newest;
+use crate::work::store::follow::{apply_in_parts, list_newest};
 use crate::work::store::group_commit::GroupCommitQueue;
 use crate::work::store::limits::StoreLimits;
 use crate::work::store::timing::STORE_TIMEOUT_MS;
@@ -258,7 +258,7 @@
                 wait_ms: 0,
             };
             let reply = self.call_store(&call).await?;
-            self.apply_jobs(&reply.records);
+            apply_in_parts(&reply.records, |records| self.apply_jobs(records)).await;
             let Some(last) = reply.records.last() else {
                 return match self.next_jobs_offset.get() >= reply.end {
                     true => Ok(()),
--- a/src/work/store/follow.rs
+++ b/src/work/store/follow.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tokio::task::yield_now;
+
 use crate::work::clock::steady_ms;
 use crate::work::model::stream::{StoreCall, StoreFailure, StoreReply, StreamName, StreamRecord};
 use crate::work::ports::StorePort;
@@ -9,6 +11,8 @@
 
 /// Delay after a failed call.
 const RETRY_MS: u64 = 80;
+/// Largest number of records that are applied at once.
+const APPLIED_AT_ONCE_MAX: usize = 64;
 
 /// What an answer of the store tells about a follower's progress.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -107,7 +111,8 @@
             wait_ms: READ_WAIT_MS,
         };
         let reply = self.call(&call).await?;
-        self.sink.apply(&reply.records);
+        let sink = &mut self.sink;
+        apply_in_parts(&reply.records, |records| sink.apply(records)).await;
         let next = reply.records.last().map_or(from, |last| last.offset + 1);
         self.next = Some(next);
         self.sink.on_reply(FollowReply {
@@ -134,6 +139,19 @@
     }
 }
 
+/// Applies the records of an answer in parts of at most `APPLIED_AT_ONCE_MAX`, between which the
+/// other tasks of the thread run.
+pub async fn apply_in_parts(records: &[StreamRecord], mut apply: impl FnMut(&[StreamRecord])) {
+    let mut parts = records.chunks(APPLIED_AT_ONCE_MAX);
+    if let Some(first) = parts.next() {
+        apply(first);
+    }
+    for part in parts {
+        yield_now().await;
+        apply(part);
+    }
+}
+
 /// Reads the newest record of each key, page by page.
 ///
 /// Returns the end offset of the stream as of the first page. Changes made while later pages are
@@ -155,7 +173,7 @@
             .call(&StoreCall::Newest { stream, after }, limit)
             .await?;
         let first_end = *end.get_or_insert(reply.end);
-        on_page(&reply.records);
+        apply_in_parts(&reply.records, &mut on_page).await;
         let last = reply.records.last().map(|record| record.entry.key.clone());
         match (reply.more, last) {
             (true, Some(key)) => after = Some(key),
--- a/tests/follow.rs
+++ b/tests/follow.rs
@@ -17,6 +17,7 @@
 use hemlockramp::work::state::context::{HostContext, HostIdentity};
 use hemlockramp::work::store::follow::{FollowReply, StreamFollower, StreamSink};
 use hemlockramp::work::store::limits::StoreLimits;
+use tokio::task::{LocalSet, yield_now};
 
 /// A store whose answers to reads hold a limited number of records.
 #[derive(Clone)]
@@ -136,6 +137,60 @@
     }
 }
 
+struct PartCase {
+    name: &'static str,
+    /// Number of records in an answer.
+    records: u64,
+    /// Most records that are applied before other tasks run.
+    most: u64,
+}
+
+/// Guards against a thread that is kept by one long answer, so that heartbeats wait behind it.
+#[test]
+fn other_tasks_run_while_a_long_answer_is_applied() {
+    let cases = [
+        PartCase {
+            name: "a short answer",
+            records: 10,
+            most: 10,
+        },
+        PartCase {
+            name: "a long answer",
+            records: 1_100,
+            most: 64,
+        },
+    ];
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("build the runtime");
+    for case in cases {
+        let store = LimitedStore {
+            end: case.records,
+            answer_max: case.records,
+        };
+        let sink = NotingSink {
+            closes_at: case.records,
+            ..NotingSink::default()
+        };
+        let applied = Rc::clone(&sink.applied);
+        let follower = StreamFollower::new(store, StreamName::Config, sink);
+        let most = Rc::<Cell<u64>>::default();
+        let noted = Rc::clone(&most);
+        LocalSet::new().block_on(&runtime, async move {
+            let run = tokio::task::spawn_local(follower.run());
+            let mut before = 0;
+            while before < case.records {
+                yield_now().await;
+                noted.set(noted.get().max(applied.get() - before));
+                before = applied.get();
+            }
+            run.await.expect("a task that does not fail");
+        });
+        assert_eq!(most.get(), case.most, "{}", case.name);
+    }
+}
+
 /// A store that lists one record a page, and answers reads with no record though its end is further.
 #[derive(Clone)]
 struct PagedStore {
