Count the owner's steps of evidence, reconciling and records

The counters told what placements, blame and scans looked at. They now tell as well how many upstreams are read to judge speed, how many listed runs are compared with expected ones, and how many upstreams and tasks are looked at for records, ends of jobs and losses.

--- a/src/work/owner/crashes.rs
+++ b/src/work/owner/crashes.rs
@@ -5,6 +5,7 @@
 use crate::work::owner::PoolOwner;
 use crate::work::owner::unit_state::{MemberPhase, UnitPhase};
 use crate::work::owner::upstream_state::UpstreamState;
+use crate::work::owner::work_counts::WorkKind;
 use crate::work::placing::placement::Isolation;
 
 /// Run time after which a lasting task counts as one that does not crash its upstreams, in ms.
@@ -60,6 +61,7 @@
     pub(super) fn resolve_losses(&mut self, life: &UpstreamLife) {
         for job in 0..self.jobs.len() {
             let state = &mut self.jobs[job];
+            self.counts.add(WorkKind::ScanStep, state.units.len());
             let mut any = false;
             for unit in 0..state.units.len() {
                 if state.units[unit].crashes.resolve(life) {
@@ -81,6 +83,7 @@
             incarnation,
         };
         for job in &mut self.jobs {
+            self.counts.add(WorkKind::ScanStep, job.units.len());
             for unit in 0..job.units.len() {
                 if job.units[unit].crashes.refute(&life) {
                     job.rows.mark_unit(unit);
@@ -160,6 +163,7 @@
         if state.phase.is_over() {
             return;
         }
+        self.counts.add(WorkKind::ScanStep, state.units.len());
         for (unit, unit_state) in state.units.iter().enumerate() {
             if !unit_state.crashes.is_suspect() {
                 continue;
--- a/src/work/owner/ends.rs
+++ b/src/work/owner/ends.rs
@@ -118,6 +118,8 @@
 
     fn complete_unit(&mut self, job: usize, unit: usize) {
         self.jobs[job].units[unit].phase = UnitPhase::Done;
+        self.counts
+            .add(WorkKind::ScanStep, self.jobs[job].units.len());
         if self.jobs[job].is_done() {
             self.set_phase(job, JobPhase::Completed);
         }
--- a/src/work/owner/reconcile.rs
+++ b/src/work/owner/reconcile.rs
@@ -9,6 +9,7 @@
 use crate::work::owner::loss_proof::LossProof;
 use crate::work::owner::unit_state::{MemberPhase, StopProgress, UnitPhase};
 use crate::work::owner::upstream_state::HeldTask;
+use crate::work::owner::work_counts::WorkKind;
 
 impl PoolOwner {
     pub(super) fn reconcile_running(&mut self, name: &ObjectName, reply: &RenewReply) {
@@ -105,6 +106,8 @@
         let upstream = &self.upstreams[index];
         let unit = &self.jobs[job].units[held.unit];
         let state = &unit.members[held.member];
+        let rows = reply.running.len() + reply.ended.len();
+        self.counts.add(WorkKind::ReconcileStep, rows);
         let task = self.jobs[job].task(held.unit, held.member);
         let is_run = |other: &TaskRef, run: u32| run == unit.run && *other == task;
         let mut running = reply.running.iter();
--- a/src/work/owner/recording.rs
+++ b/src/work/owner/recording.rs
@@ -5,6 +5,7 @@
 use crate::work::model::stream::KeyedValue;
 use crate::work::owner::PoolOwner;
 use crate::work::owner::job_state::JobState;
+use crate::work::owner::work_counts::WorkKind;
 
 /// Rows that must be stored before the orders of the same batch go out.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -68,6 +69,7 @@
         }
         batch.finished.append(&mut self.finished);
         batch.ended.append(&mut self.newly_ended);
+        self.counts.add(WorkKind::ScanStep, self.upstreams.len());
         let has_dependents = self
             .pending_starts
             .iter()
@@ -95,6 +97,7 @@
         {
             self.release_start(start.order);
         }
+        self.counts.add(WorkKind::ScanStep, self.upstreams.len());
         for upstream in &mut self.upstreams {
             if upstream.end_batch.is_some_and(|batch| batch <= number) {
                 upstream.end_batch = None;
--- a/src/work/owner/speeds.rs
+++ b/src/work/owner/speeds.rs
@@ -6,6 +6,7 @@
 use crate::work::model::upstream::EndKind;
 use crate::work::owner::PoolOwner;
 use crate::work::owner::unit_state::UnitPhase;
+use crate::work::owner::work_counts::WorkKind;
 use crate::work::placing::speed::bias::LogEstimate;
 use crate::work::placing::speed::curve::EvidenceCurve;
 use crate::work::placing::speed::sample::RunSample;
@@ -51,6 +52,8 @@
         upstream.next_sample_ms = now_ms + LIVE_INTERVAL_MS;
         let incarnation = upstream.incarnation;
         let live = self.live_evidence(index);
+        self.counts
+            .add(WorkKind::EvidenceStep, self.speeds.take_reads());
         self.speeds.set_live(name, live);
         self.speeds.set_incarnation(name, incarnation);
     }
@@ -102,6 +105,8 @@
         let settled = self.settled_bias(job, step);
         let refined = self.speeds.refined_bias(&settled, sample, &key, &members);
         self.jobs[job].biases[step].settled = Some(refined);
+        self.counts
+            .add(WorkKind::EvidenceStep, self.speeds.take_reads());
         for (name, evidence) in members.iter().zip(&shown) {
             self.speeds.settle(name, evidence, now_ms);
             if let Some(index) = self.upstream_index(name) {
--- a/src/work/owner/waiting.rs
+++ b/src/work/owner/waiting.rs
@@ -4,6 +4,7 @@
 use crate::work::load::queue_order::{OrderKey, WaitingUnit, order_key};
 use crate::work::owner::PoolOwner;
 use crate::work::owner::team_usage::TeamUsage;
+use crate::work::owner::work_counts::WorkKind;
 
 /// Waiting units of one step of a job.
 pub(super) struct WaitingStep {
@@ -19,6 +20,8 @@
         let shares = self.team_shares();
         let mut found: Vec<WaitingStep> = Vec::new();
         for job in 0..self.jobs.len() {
+            self.counts
+                .add(WorkKind::ScanStep, self.jobs[job].units.len());
             let mut ready = self.jobs[job].ready_units(self.now.wall_ms);
             ready.retain(|&unit| !self.restart_is_paused(job, unit));
             let same_step = |left: &usize, right: &usize| {
--- a/src/work/owner/work_counts.rs
+++ b/src/work/owner/work_counts.rs
@@ -18,19 +18,25 @@
     BlameStep,
     /// Upstreams that were looked at to place units or to make room for them.
     SearchStep,
-    /// Tasks and upstreams that were looked at for what is due: leases, renewals, orders.
+    /// Tasks and upstreams that were looked at for what is due: leases, renewals, orders, records.
     ScanStep,
+    /// Upstreams that were read to judge the speed of others by their common runs.
+    EvidenceStep,
+    /// Listed runs that were compared with expected ones.
+    ReconcileStep,
 }
 
 impl WorkKind {
     /// All kinds, in the order of their declaration.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 8] = [
         Self::Renewal,
         Self::End,
         Self::Placement,
         Self::BlameStep,
         Self::SearchStep,
         Self::ScanStep,
+        Self::EvidenceStep,
+        Self::ReconcileStep,
     ];
 
     /// Returns the label for metrics.
@@ -42,6 +48,8 @@
             Self::BlameStep => "blame_step",
             Self::SearchStep => "search_step",
             Self::ScanStep => "scan_step",
+            Self::EvidenceStep => "evidence_step",
+            Self::ReconcileStep => "reconcile_step",
         }
     }
 }
--- a/src/work/placing/speed/table.rs
+++ b/src/work/placing/speed/table.rs
@@ -1,5 +1,7 @@
 //! What is known of the speed of a pool's upstreams.
 
+use std::cell::Cell;
+
 use crate::tables::name::ObjectName;
 use crate::work::model::speed_record::{SpeedRecord, speed_row_number};
 use crate::work::placing::slowdown::UpstreamSlowdown;
@@ -95,6 +97,8 @@
     upstreams: Vec<UpstreamSpeed>,
     /// Sorted by name.
     queues: Vec<QueueBias>,
+    /// Upstreams read to find the slowest of several.
+    reads: Cell<usize>,
 }
 
 impl SpeedTable {
@@ -226,6 +230,11 @@
         true
     }
 
+    /// Returns how many upstreams were read to find the slowest of several, since the last call.
+    pub fn take_reads(&self) -> usize {
+        self.reads.take()
+    }
+
     /// Returns the deviation of slowness over the pool.
     pub fn pool_deviation(&self) -> f64 {
         self.classes.slowdown().deviation()
@@ -277,6 +286,7 @@
     /// Returns the distribution of the slowest of several upstreams, by all runs but those in
     /// progress of one step.
     fn slowest(&self, step: &StepKey, members: &[ObjectName]) -> SlownessDistribution {
+        self.reads.set(self.reads.get() + members.len());
         if let [only] = members {
             return self.without(step, only);
         }
