Read a gang's speed once for all its members

Callers of the large deployment saw LOST and SHORT: the owner's thread was filled. One part: the first end of a gang judged each member by reading all others, and so did each upstream of a gang in progress once a second. The work grew with the square of the members.

The logarithms of all members are summed once; the others of a member are the sum without its own. For gangs in progress the sum is kept for as long as a step's bias is. Gangs of two are judged as before.

--- a/src/work/owner/speeds.rs
+++ b/src/work/owner/speeds.rs
@@ -5,18 +5,22 @@
 use crate::work::model::stream::KeyedValue;
 use crate::work::model::upstream::EndKind;
 use crate::work::owner::PoolOwner;
+use crate::work::owner::step_bias::GangReading;
 use crate::work::owner::unit_state::UnitPhase;
 use crate::work::owner::work_counts::WorkKind;
 use crate::work::placing::speed::bias::LogEstimate;
 use crate::work::placing::speed::curve::EvidenceCurve;
 use crate::work::placing::speed::sample::RunSample;
-use crate::work::placing::speed::table::{StepEvidence, StepKey};
+use crate::work::placing::speed::table::{GangSpeed, StepEvidence, StepKey};
 
 /// Shortest time between two looks at the runs in progress on an upstream, in ms.
 const LIVE_INTERVAL_MS: u64 = 1_000;
 /// Runs in progress on an upstream that are looked at; more tell little that is new.
 const LIVE_RUNS_MAX: usize = 8;
-/// Shortest time between two estimates of a step's bias, in ms.
+/// Members from which a gang's speed is read for all of them together.
+const WIDE_GANG_MIN: u32 = 3;
+/// Shortest time between two estimates of a step's bias, and between two readings of a gang's speed, in
+/// ms.
 const BIAS_INTERVAL_MS: u64 = 500;
 /// Shortest time between two batches with stored speeds, in ms.
 const STORE_INTERVAL_MS: u64 = 3_000;
@@ -73,14 +77,62 @@
                 continue;
             };
             let bias = self.bias_beside(job, unit);
-            let members = self.run_upstreams(job, unit);
             let step = self.step_key(job, unit);
-            let curve = self.speeds.evidence(sample, &bias, &step, &members, member);
+            let curve = if self.jobs[job].shapes[unit].count >= WIDE_GANG_MIN {
+                let gang = self.current_gang_speed(job, unit);
+                let name = &self.upstreams[index].name;
+                self.speeds.gang_evidence(sample, &bias, &gang, name)
+            } else {
+                let members = self.run_upstreams(job, unit);
+                self.speeds.evidence(sample, &bias, &step, &members, member)
+            };
             evidence.push(StepEvidence { step, curve });
         }
         evidence
     }
 
+    /// Returns what is known of a gang's members, read anew at intervals.
+    fn current_gang_speed(&mut self, job: usize, unit: usize) -> GangSpeed {
+        let now_ms = self.now.steady_ms;
+        let run = self.jobs[job].units[unit].run;
+        let step = self.jobs[job].shapes[unit].step as usize;
+        let is_current = |read: &&GangReading| {
+            (read.unit, read.run) == (unit, run) && now_ms < read.at_ms + BIAS_INTERVAL_MS
+        };
+        let known = self.jobs[job].biases[step].gang.as_ref();
+        if let Some(read) = known.filter(is_current) {
+            return read.speed.clone();
+        }
+        let speed = self.speeds.gang_speed(&self.run_upstreams(job, unit));
+        self.jobs[job].biases[step].gang = Some(GangReading {
+            unit,
+            run,
+            at_ms: now_ms,
+            speed: speed.clone(),
+        });
+        speed
+    }
+
+    /// Returns what a run shows of each of its members.
+    fn member_evidence(
+        &self,
+        sample: RunSample,
+        bias: &LogEstimate,
+        step: &StepKey,
+        members: &[ObjectName],
+    ) -> Vec<EvidenceCurve> {
+        if members.len() >= WIDE_GANG_MIN as usize {
+            let gang = self.speeds.gang_speed(members);
+            let shown = members
+                .iter()
+                .map(|member| self.speeds.gang_evidence(sample, bias, &gang, member));
+            return shown.collect();
+        }
+        (0..members.len())
+            .map(|member| self.speeds.evidence(sample, bias, step, members, member))
+            .collect()
+    }
+
     /// Counts the time of a run that has ended, once for all its members.
     pub(super) fn count_run_time(&mut self, job: usize, unit: usize, kind: EndKind) {
         let now_ms = self.now.steady_ms;
@@ -98,9 +150,7 @@
         let bias = self.bias_beside(job, unit);
         let members = self.run_upstreams(job, unit);
         let key = self.step_key(job, unit);
-        let shown: Vec<EvidenceCurve> = (0..members.len())
-            .map(|member| self.speeds.evidence(sample, &bias, &key, &members, member))
-            .collect();
+        let shown = self.member_evidence(sample, &bias, &key, &members);
         let step = self.jobs[job].shapes[unit].step as usize;
         let settled = self.settled_bias(job, step);
         let refined = self.speeds.refined_bias(&settled, sample, &key, &members);
--- a/src/work/placing/speed/table.rs
+++ b/src/work/placing/speed/table.rs
@@ -38,6 +38,13 @@
     pub curve: EvidenceCurve,
 }
 
+/// What is known of all members of a gang together.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GangSpeed(
+    /// Sums of the members' logarithms, each of the probability of a cell or a lower one.
+    [f64; CELLS],
+);
+
 /// What is known of one upstream.
 #[derive(Clone, Debug)]
 struct UpstreamSpeed {
@@ -161,6 +168,28 @@
         EvidenceCurve::of_run(sample, bias, Some(&self.slowest(step, &others)))
     }
 
+    /// Returns what is known of all members of a gang together.
+    pub fn gang_speed(&self, members: &[ObjectName]) -> GangSpeed {
+        GangSpeed(self.summed_logs(members))
+    }
+
+    /// Returns what a gang's run shows of one of its members, as `evidence` does. `gang` is what is
+    /// known of all members, so that the others need not be read again for each of them.
+    pub fn gang_evidence(
+        &self,
+        sample: RunSample,
+        bias: &LogEstimate,
+        gang: &GangSpeed,
+        member: &ObjectName,
+    ) -> EvidenceCurve {
+        self.reads.set(self.reads.get() + 1);
+        let own = self.settled_logs(member);
+        // What is known of the member may have changed since it was added.
+        let others = std::array::from_fn(|cell| (gang.0[cell] - own[cell]).min(0.0));
+        let slowest = SlownessDistribution::of_largest(&others);
+        EvidenceCurve::of_run(sample, bias, Some(&slowest))
+    }
+
     /// Adds the evidence of a run that has ended.
     pub fn settle(&mut self, name: &ObjectName, evidence: &EvidenceCurve, now_ms: u64) {
         let classes = self.classes.clone();
@@ -286,16 +315,21 @@
     /// Returns the distribution of the slowest of several upstreams, by all runs but those in
     /// progress of one step.
     fn slowest(&self, step: &StepKey, members: &[ObjectName]) -> SlownessDistribution {
-        self.reads.set(self.reads.get() + members.len());
         if let [only] = members {
+            self.reads.set(self.reads.get() + 1);
             return self.without(step, only);
         }
+        SlownessDistribution::of_largest(&self.summed_logs(members))
+    }
+
+    fn summed_logs(&self, members: &[ObjectName]) -> [f64; CELLS] {
+        self.reads.set(self.reads.get() + members.len());
         let mut sum = [0.0; CELLS];
         for member in members {
             let logs = self.settled_logs(member);
             (0..CELLS).for_each(|cell| sum[cell] += logs[cell]);
         }
-        SlownessDistribution::of_largest(&sum)
+        sum
     }
 
     /// Wide gangs ask for many upstreams at once, so this is kept ready.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
+pub mod answering_pool;
 pub mod crowd_play;
 pub mod fold;
 pub mod log;
--- a/tests/upstream_speed.rs
+++ b/tests/upstream_speed.rs
@@ -465,3 +465,27 @@
         );
     }
 }
+
+/// What a gang's run shows of its members is the same whether the others are read for each member or
+/// all members at once.
+#[test]
+fn a_gang_shows_the_same_read_at_once() {
+    let mut replay = Replay::new((0..90).map(|one| [0.6, 1.0, 1.6][one % 3]));
+    for _ in 0..24 {
+        let picked = replay.pick(12);
+        replay.run(false, &picked, 0.3);
+    }
+    let step = (name("job"), 0);
+    let bias = replay.table.expected_bias(&name("gangs"));
+    let sample = RunSample::of_end(5 * ESTIMATE_MS / 4, ESTIMATE_MS).expect("a sample");
+    for count in [3, 8, 60] {
+        let members = &replay.names[..count];
+        let gang = replay.table.gang_speed(members);
+        for (index, member) in members.iter().enumerate() {
+            let table = &replay.table;
+            let alone = table.evidence(sample, &bias, &step, members, index);
+            let at_once = table.gang_evidence(sample, &bias, &gang, member);
+            assert_eq!(alone.to_digits(), at_once.to_digits(), "{count}: {member}");
+        }
+    }
+}
