Format no log line that is dropped, and write lines without a map

The owner of the large deployment logs more than 1,000 lines a second, and 500 are written. Lines were formatted first, each through a map of strings, and dropped by the writer afterwards.

The budget is now asked before a line is formatted, and lines are serialized straight into the output. Fields stand in the order in which they are logged; before they were sorted by name.

--- a/src/daemons/log_writer.rs
+++ b/src/daemons/log_writer.rs
@@ -1,27 +1,22 @@
-//! Log writer for standard output that is rate-limited and never blocks.
+//! Log writer for standard output that never blocks.
 
 use std::io::{self, Write};
-use std::time::{Duration, Instant};
+use std::sync::Arc;
 
 use rustix::fs::{OFlags, fcntl_getfl, fcntl_setfl};
 use rustix::stdio::stdout;
 
-/// Lines written in each interval before further ones are dropped.
-const LINES_PER_INTERVAL: u32 = 500;
-/// Length of the rate limit's interval, in ms.
-const INTERVAL_MS: u64 = 1_000;
+use crate::daemons::line_budget::LineBudget;
 
-/// Writes whole lines or drops them, and counts the dropped ones.
+/// Writes whole lines or drops them, and reports how many were dropped.
 #[derive(Debug)]
 pub struct LogWriter {
-    interval_start: Instant,
-    remaining: u32,
-    dropped: u64,
+    budget: Arc<LineBudget>,
 }
 
 impl LogWriter {
     /// Creates the writer and sets standard output to non-blocking mode.
-    pub fn open() -> Self {
+    pub fn open(budget: Arc<LineBudget>) -> Self {
         let set =
             fcntl_getfl(stdout()).and_then(|flags| fcntl_setfl(stdout(), flags | OFlags::NONBLOCK));
         if let Err(error) = set {
@@ -29,31 +24,16 @@
                 "log: cannot set standard output to non-blocking, so logging may block: {error}"
             );
         }
-        Self {
-            interval_start: Instant::now(),
-            remaining: LINES_PER_INTERVAL,
-            dropped: 0,
-        }
-    }
-
-    fn try_acquire(&mut self) -> bool {
-        if self.interval_start.elapsed() >= Duration::from_millis(INTERVAL_MS) {
-            self.interval_start = Instant::now();
-            self.remaining = LINES_PER_INTERVAL;
-        }
-        let acquired = self.remaining > 0;
-        self.remaining = self.remaining.saturating_sub(1);
-        acquired
+        Self { budget }
     }
 
-    fn write_line(&mut self, line: &[u8]) {
+    fn write_line(&self, line: &[u8]) {
         if !matches!(rustix::io::write(stdout(), line), Ok(length) if length == line.len()) {
-            self.dropped += 1;
+            self.budget.add_dropped();
         }
     }
 
-    fn report_dropped(&mut self) {
-        let dropped = std::mem::take(&mut self.dropped);
+    fn report_dropped(&self, dropped: u64) {
         metrics::counter!("hemlockramp_log_lines_dropped_total").increment(dropped);
         self.write_line(format!("{{\"level\":\"WARN\",\"part\":\"log\",\"message\":\"log: lines were dropped.\",\"fields\":{{\"count\":{dropped}}}}}\n").as_bytes());
     }
@@ -62,14 +42,11 @@
 impl Write for LogWriter {
     /// Takes one whole line: the logger writes each line with a single call.
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if !self.try_acquire() {
-            self.dropped += 1;
-        } else {
-            if self.dropped > 0 {
-                self.report_dropped();
-            }
-            self.write_line(line);
+        let dropped = self.budget.take_dropped();
+        if dropped > 0 {
+            self.report_dropped(dropped);
         }
+        self.write_line(line);
         Ok(line.len())
     }
 
--- a/src/daemons/mod.rs
+++ b/src/daemons/mod.rs
@@ -10,6 +10,8 @@
 pub mod guarded_server;
 pub mod host_registry;
 pub mod http_reply;
+pub mod line_budget;
+pub mod log_line;
 pub mod log_writer;
 pub mod membership;
 pub mod observe;
--- a/src/daemons/observe.rs
+++ b/src/daemons/observe.rs
@@ -1,14 +1,17 @@
 //! Sets up logging and metrics of a process and waits for termination signals.
 
 use std::io::{self, Write};
+use std::sync::Arc;
+use std::time::Instant;
 
 use env_logger::fmt::Formatter;
 use env_logger::{Builder, Env, Target};
 use eyre::{Report, eyre};
-use log::kv::{Key, Value, VisitSource};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::daemons::line_budget::LineBudget;
+use crate::daemons::log_line::write_json_line;
 use crate::daemons::log_writer::LogWriter;
 
 /// Environment variable with the log filter, for example `HEMLOCKRAMP_LOG=info`.
@@ -27,10 +30,22 @@
 
 /// Sets up logging to standard output as JSON lines, rate-limited and non-blocking.
 pub fn start_bounded_logs() {
+    let budget = Arc::new(LineBudget::new(Instant::now()));
+    let writer = LogWriter::open(Arc::clone(&budget));
+    bounded_builder(budget, writer).init();
+}
+
+/// Creates a logger of JSON lines that formats no more lines than the budget allows.
+pub fn bounded_builder(budget: Arc<LineBudget>, writer: impl Write + Send + 'static) -> Builder {
     let mut builder = log_builder();
-    builder.format(write_json);
-    builder.target(Target::Pipe(Box::new(LogWriter::open())));
-    builder.init();
+    builder.format(
+        move |output, record| match budget.try_acquire(Instant::now()) {
+            true => write_json(output, record),
+            false => Ok(()),
+        },
+    );
+    builder.target(Target::Pipe(Box::new(writer)));
+    builder
 }
 
 fn log_builder() -> Builder {
@@ -41,29 +56,8 @@
 }
 
 fn write_json(output: &mut Formatter, record: &log::Record) -> io::Result<()> {
-    let mut fields = JsonFields::default();
-    // Fields that cannot be visited are left out of the line.
-    let _ = record.key_values().visit(&mut fields);
-    let line = serde_json::json!({
-        "time": output.timestamp_millis().to_string(),
-        "level": record.level().as_str(),
-        "part": record.target(),
-        "message": record.args().to_string(),
-        "fields": fields.map,
-    });
-    writeln!(output, "{line}")
-}
-
-#[derive(Default)]
-struct JsonFields {
-    map: serde_json::Map<String, serde_json::Value>,
-}
-
-impl<'kvs> VisitSource<'kvs> for JsonFields {
-    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
-        self.map.insert(key.to_string(), value.to_string().into());
-        Ok(())
-    }
+    let time = output.timestamp_millis();
+    write_json_line(output, time, record)
 }
 
 /// Installs the global metrics recorder; the handle renders it as Prometheus text.
