Place the tasks of a step from one ranking of the upstreams

Callers on a pool of 1,100 upstreams saw LOST and SHORT when the owner changed at the end of a round that placed a step of 416 tasks and took 1.4 s; one job of 20,000 tasks to be spread stopped every host in turn.

Cause: each placement built the list of all placed tasks of its step, and compared each of their names with each upstream: tasks^2 x upstreams in a round. Steps without a limit per upstream still rated all upstreams anew for each task.

- Placed tasks of a step are counted by upstream once a round, and each placement adds its own.
- Single tasks of equal demands take upstreams from one ranking.
A placement changes only the upstream that it takes, which is ranked anew.
A step with capacity reserved for one of its units is searched as before, since reservations are open to that unit only.
- A gang that shares a rack ranks the upstreams once, not once for each rack.
- Reserved candidates are listed, so that neither a placement nor a blocked unit goes through all candidates to find them.

The same tests compare a kept ranking with a new search on random pools. The test in work_decisions.rs only builds the counts in place of the list; it asserts what it did.

--- a/src/work/owner/departures.rs
+++ b/src/work/owner/departures.rs
@@ -5,7 +5,7 @@
 use crate::work::owner::placement_pool::PlacementPool;
 use crate::work::owner::unit_state::{MemberPhase, UnitPhase, UnitState};
 use crate::work::owner::upstream_state::UpstreamState;
-use crate::work::placing::placement::{CapacityClaim, claim_rank, place_unit};
+use crate::work::placing::placement::{CapacityClaim, UnitDemand, claim_rank, place_unit};
 use crate::work::placing::remaining::remaining_ms;
 use crate::work::placing::slowdown::UpstreamSlowdown;
 
@@ -145,7 +145,10 @@
         };
         let pool = &mut pools[index];
         let waiting = self.waiting_unit(job, unit, &self.team_usage());
-        let demand = self.demand(job, unit, &waiting, pool);
+        let demand = UnitDemand {
+            siblings: self.siblings(job, unit),
+            ..self.demand(job, unit, &waiting, pool)
+        };
         let claim = CapacityClaim {
             job: self.jobs[job].id.clone(),
             unit,
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -28,6 +28,7 @@
 mod speeds;
 pub mod start_gate;
 pub mod step_bias;
+mod step_search;
 pub mod task_rows;
 mod team_usage;
 mod timing;
--- a/src/work/owner/placement_pool.rs
+++ b/src/work/owner/placement_pool.rs
@@ -3,7 +3,7 @@
 use crate::tables::name::ObjectName;
 use crate::work::model::amount::ResourceAmount;
 use crate::work::placing::headroom::required_headroom;
-use crate::work::placing::placement::{CandidateUpstream, CapacityClaim, UnitDemand, place_unit};
+use crate::work::placing::placement::{CandidateUpstream, CapacityClaim, UnitDemand};
 
 /// Share of the capacity in use above which a pool counts as busy, in thousandths.
 const BUSY_SHARE_MILLI: u64 = 450;
@@ -16,6 +16,8 @@
     pub(super) upstream_indexes: Vec<usize>,
     /// Upstreams that are used only if the candidates do not suffice, with their indexes.
     pub(super) excluded: Vec<(usize, CandidateUpstream)>,
+    /// Candidates with a reservation, sorted.
+    reserved: Vec<usize>,
     /// Total capacity of the candidates.
     pub(super) capacity: ResourceAmount,
     /// Free capacity of the candidates.
@@ -25,22 +27,77 @@
 }
 
 impl PlacementPool {
+    /// Creates a pool without upstreams, in which urgent work holds this capacity.
+    pub(super) fn new(name: ObjectName, urgent: ResourceAmount) -> Self {
+        Self {
+            name,
+            candidates: Vec::new(),
+            upstream_indexes: Vec::new(),
+            excluded: Vec::new(),
+            reserved: Vec::new(),
+            capacity: ResourceAmount::default(),
+            free: ResourceAmount::default(),
+            urgent,
+        }
+    }
+
     pub(super) fn add(&mut self, upstream_index: usize, candidate: CandidateUpstream) {
+        if candidate.reserved.is_some() {
+            self.reserved.push(self.candidates.len());
+        }
         self.capacity = self.capacity.plus(&candidate.capacity);
         self.free = self.free.plus(&candidate.free);
         self.upstream_indexes.push(upstream_index);
         self.candidates.push(candidate);
     }
 
-    /// Returns whether a unit that may be placed anywhere needs the excluded upstreams: no other has
-    /// room, and most of the pool is free or all of it is excluded. In a pool that is in use, waiting
-    /// for sound upstreams is better than losing runs on broken ones.
-    pub(super) fn needs_excluded(
-        &self,
-        priority: u32,
-        demand: &UnitDemand,
-        claim: &CapacityClaim,
-    ) -> bool {
+    /// Reserves a candidate for a claim.
+    pub(super) fn reserve(&mut self, index: usize, claim: &CapacityClaim) {
+        self.candidates[index].reserved = Some(claim.clone());
+        if let Err(at) = self.reserved.binary_search(&index) {
+            self.reserved.insert(at, index);
+        }
+    }
+
+    /// Releases the candidates reserved for a unit and returns their indexes.
+    pub(super) fn release(&mut self, job: &ObjectName, unit: usize) -> Vec<usize> {
+        let candidates = &mut self.candidates;
+        let is_own = |index: &mut usize| {
+            let claim = candidates[*index].reserved.as_ref();
+            claim.is_some_and(|claim| claim.job == *job && claim.unit == unit)
+        };
+        let released: Vec<usize> = self.reserved.extract_if(.., is_own).collect();
+        for &index in &released {
+            candidates[index].reserved = None;
+        }
+        released
+    }
+
+    /// Returns whether a candidate is reserved for a unit of a job.
+    pub(super) fn has_reserved(&self, job: &ObjectName) -> bool {
+        let claims = self.reserved_claims();
+        claims.into_iter().any(|claim| claim.job == *job)
+    }
+
+    /// Returns the claims for which candidates are reserved, one for each candidate.
+    pub(super) fn reserved_claims(&self) -> impl Iterator<Item = &CapacityClaim> {
+        let reserved = self.reserved.iter();
+        reserved.filter_map(|&index| self.candidates[index].reserved.as_ref())
+    }
+
+    /// Returns the number of candidates that a search for a demand looks at, each time that it does.
+    pub(super) fn search_steps(&self, demand: &UnitDemand) -> usize {
+        let is_gang = demand.count > 1;
+        let passes = 1
+            + usize::from(is_gang && demand.data_rack.is_some())
+            + usize::from(is_gang && demand.same_rack);
+        passes * self.candidates.len()
+    }
+
+    /// Returns whether a unit that may be placed anywhere gets the excluded upstreams if no other has
+    /// room: most of the pool is free or all of it is excluded. In a pool that is in use, waiting for
+    /// sound upstreams is better than losing runs on broken ones.
+    pub(super) fn may_need_excluded(&self, demand: &UnitDemand) -> bool {
         let waits_for_place = !demand.any_rack || (demand.same_rack && !demand.may_span_racks);
         if self.excluded.is_empty() || waits_for_place {
             return false;
@@ -50,9 +107,7 @@
             .fold((self.capacity, self.free), |(capacity, free), one| {
                 (capacity.plus(&one.capacity), free.plus(&one.free))
             });
-        (!is_in_use(&capacity, &free) || self.candidates.is_empty())
-            && (!self.leaves_headroom(priority, demand)
-                || place_unit(demand, claim, &self.candidates).is_none())
+        !is_in_use(&capacity, &free) || self.candidates.is_empty()
     }
 
     /// Returns the pool with its excluded upstreams among the candidates.
@@ -61,15 +116,7 @@
         let mut rows: Vec<_> = own.zip(self.candidates.iter().cloned()).collect();
         rows.extend_from_slice(&self.excluded);
         rows.sort_by_key(|(index, _)| *index);
-        let mut pool = Self {
-            name: self.name.clone(),
-            candidates: Vec::with_capacity(rows.len()),
-            upstream_indexes: Vec::with_capacity(rows.len()),
-            excluded: Vec::new(),
-            capacity: ResourceAmount::default(),
-            free: ResourceAmount::default(),
-            urgent: self.urgent,
-        };
+        let mut pool = Self::new(self.name.clone(), self.urgent);
         for (index, candidate) in rows {
             pool.add(index, candidate);
         }
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -2,12 +2,12 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::load::queue_order::WaitingUnit;
-use crate::work::model::amount::ResourceAmount;
 use crate::work::model::config::QueueRule;
 use crate::work::owner::PoolOwner;
 use crate::work::owner::placed_speed::PlacedSpeed;
 use crate::work::owner::placement_pool::PlacementPool;
 use crate::work::owner::preemption::BlockedUnit;
+use crate::work::owner::step_search::StepSearch;
 use crate::work::owner::unit_state::{MemberPhase, MemberState, UnitPhase};
 use crate::work::owner::upstream_state::HeldTask;
 use crate::work::owner::waiting::WaitingStep;
@@ -15,8 +15,8 @@
 use crate::work::placing::locality_wait::LocalityWait;
 use crate::work::placing::placement::{
     CandidateUpstream, CapacityClaim, Isolation, UnitDemand, claim_rank, fits_in_one_rack,
-    place_unit,
 };
+use crate::work::placing::sibling_counts::SiblingCounts;
 use crate::work::placing::slowdown::{SlowdownLimit, SpeedPreference};
 
 /// Guaranteed units for which one round searches capacity separately.
@@ -38,22 +38,9 @@
 }
 
 impl PlacementRound {
-    /// Whether a demand fits does not depend on its preferred speed.
-    fn note_unplaceable(&mut self, mut demand: UnitDemand) {
-        demand.speed = SpeedPreference::default();
-        self.unplaceable.push(demand);
-    }
-
     fn is_unplaceable(&self, demand: &UnitDemand) -> bool {
-        if self.unplaceable.is_empty() {
-            return false;
-        }
-        let speed = SpeedPreference::default();
-        let wanted = UnitDemand {
-            speed,
-            ..demand.clone()
-        };
-        self.unplaceable.contains(&wanted)
+        let mut unplaceable = self.unplaceable.iter();
+        unplaceable.any(|other| other.needs_same_room(demand))
     }
 }
 
@@ -90,15 +77,7 @@
     pub(super) fn placement_pool(&self, pool: &ObjectName) -> PlacementPool {
         self.counts.add(WorkKind::SearchStep, self.upstreams.len());
         let now_ms = self.now.steady_ms;
-        let mut result = PlacementPool {
-            name: pool.clone(),
-            candidates: Vec::new(),
-            upstream_indexes: Vec::new(),
-            excluded: Vec::new(),
-            capacity: ResourceAmount::default(),
-            free: ResourceAmount::default(),
-            urgent: self.urgent_usage(pool),
-        };
+        let mut result = PlacementPool::new(pool.clone(), self.urgent_usage(pool));
         for (index, upstream) in self.upstreams.iter().enumerate() {
             let Some(report) = &upstream.report else {
                 continue;
@@ -127,6 +106,7 @@
         result
     }
 
+    /// Returns what a unit asks for now, without the placed tasks of its step.
     pub(super) fn demand(
         &self,
         job: usize,
@@ -160,14 +140,11 @@
             same_rack: step.same_rack,
             may_span_racks: !waits_for_locality,
             spread_max: step.spread_max as usize,
-            siblings: Vec::new(),
+            siblings: SiblingCounts::default(),
             avoided_upstreams: failed_on.take(AVOIDED_UPSTREAMS_MAX).cloned().collect(),
             speed: self.speed_preference(job, unit, waiting),
             isolation: self.isolation(job, unit, waited_ms),
         };
-        if step.spread_max > 0 {
-            demand.siblings = self.siblings(job, unit);
-        }
         demand.may_span_racks |= demand.same_rack && !fits_in_one_rack(&demand, &pool.candidates);
         demand
     }
@@ -200,16 +177,24 @@
         SlowdownLimit::new((stretch * 1_000.0) as i64, 1_000)
     }
 
-    /// Returns the upstreams of the placed tasks of the unit's step and round, one entry a task.
-    fn siblings(&self, job: usize, unit: usize) -> Vec<ObjectName> {
+    /// Returns the placed tasks of a unit's step and round, if their number on an upstream is
+    /// limited.
+    pub(super) fn siblings(&self, job: usize, unit: usize) -> SiblingCounts {
         let state = &self.jobs[job];
-        let own = state.shapes[unit];
-        let same = |index: &usize| {
-            state.shapes[*index].step == own.step && state.shapes[*index].round == own.round
-        };
-        (0..state.units.len())
-            .filter(same)
-            .flat_map(|index| state.units[index].members.iter())
+        if state.step(unit).spread_max == 0 {
+            return SiblingCounts::default();
+        }
+        let own = (state.shapes[unit].round, state.shapes[unit].step);
+        let first = state
+            .shapes
+            .partition_point(|one| (one.round, one.step) < own);
+        let after = state
+            .shapes
+            .partition_point(|one| (one.round, one.step) <= own);
+        self.counts.add(WorkKind::SearchStep, after - first);
+        state.units[first..after]
+            .iter()
+            .flat_map(|unit| &unit.members)
             .filter_map(|member| member.upstream.clone())
             .collect()
     }
@@ -225,15 +210,16 @@
                 round.pools.len() - 1
             }
         };
+        let mut search = StepSearch::new(self.siblings(job, waiting_step.units[0]));
         for &unit in &waiting_step.units {
             let pool = &round.pools[index];
-            let demand = self.demand(job, unit, &waiting_step.waiting, pool);
+            search.set_demand(self.demand(job, unit, &waiting_step.waiting, pool));
             // Each guaranteed unit gets a reservation of its own, even if its demand equals
             // another's.
             let own_search =
                 waiting_step.waiting.guaranteed && round.guaranteed < GUARANTEED_UNITS_MAX;
-            let isolated = demand.isolation == Isolation::Required;
-            if !own_search && round.is_unplaceable(&demand) {
+            let isolated = search.demand().isolation == Isolation::Required;
+            if !own_search && round.is_unplaceable(search.demand()) {
                 if isolated {
                     continue;
                 }
@@ -245,25 +231,29 @@
                 unit,
                 rank: claim_rank(priority, waiting_step.waiting.guaranteed),
             };
-            if pool.needs_excluded(priority, &demand, &claim) {
+            if pool.may_need_excluded(search.demand())
+                && (!pool.leaves_headroom(priority, search.demand())
+                    || search.place(&claim, pool, &self.counts).is_none())
+            {
                 *pool = pool.with_excluded();
+                self.counts.add(WorkKind::SearchStep, pool.candidates.len());
+                search.forget_candidates();
             }
-            self.count_search(&demand, pool.excluded.len() + pool.candidates.len());
-            if !pool.leaves_headroom(priority, &demand) {
+            if !pool.leaves_headroom(priority, search.demand()) {
                 self.log_wait(job, unit, "headroom for urgent work", pool);
                 return;
             }
-            let chosen = place_unit(&demand, &claim, &pool.candidates);
+            let chosen = search.place(&claim, pool, &self.counts);
             if chosen.is_none() && isolated {
                 // Other units of the step may share upstreams, and so may this one before long.
                 self.log_wait(job, unit, "no upstream of its own", pool);
-                round.note_unplaceable(demand);
+                round.unplaceable.push(search.demand().clone());
                 continue;
             }
             let Some(chosen) = chosen else {
                 let blocked = BlockedUnit {
                     waiting: &waiting_step.waiting,
-                    demand: &demand,
+                    demand: search.demand(),
                     claim,
                     outlook: self.unit_outlook(
                         job,
@@ -275,20 +265,14 @@
                 round.guaranteed += usize::from(own_search);
                 self.log_wait(job, unit, "not enough free capacity", pool);
                 self.reserve_or_preempt(&blocked, pool, &mut round.reserved);
-                round.note_unplaceable(demand);
+                round.unplaceable.push(search.demand().clone());
                 return;
             };
-            self.assign(job, unit, pool, &chosen, &demand);
+            self.assign(job, unit, pool, &chosen, search.demand());
+            search.note_placed(&claim, pool, &chosen);
         }
     }
 
-    /// Counts a search of room for a unit. Each placed sibling is compared with each candidate.
-    pub(super) fn count_search(&self, demand: &UnitDemand, candidates: usize) {
-        let siblings = demand.siblings.len();
-        self.counts
-            .add(WorkKind::SearchStep, candidates * (1 + siblings));
-    }
-
     /// Logs why a unit waits, once for each wait.
     fn log_wait(&mut self, job: usize, unit: usize, reason: &str, pool: &PlacementPool) {
         let state = &mut self.jobs[job];
@@ -359,13 +343,8 @@
 
     /// Releases the capacity reserved for a unit.
     fn release_reservation(&mut self, job: &ObjectName, unit: usize, pool: &mut PlacementPool) {
-        self.counts.add(WorkKind::SearchStep, pool.candidates.len());
-        for (candidate, &index) in pool.candidates.iter_mut().zip(&pool.upstream_indexes) {
-            let reservation = candidate.reserved.as_ref();
-            if reservation.is_some_and(|claim| claim.job == *job && claim.unit == unit) {
-                candidate.reserved = None;
-                self.upstreams[index].reserved = None;
-            }
+        for index in pool.release(job, unit) {
+            self.upstreams[pool.upstream_indexes[index]].reserved = None;
         }
     }
 }
--- a/src/work/owner/preemption.rs
+++ b/src/work/owner/preemption.rs
@@ -52,10 +52,7 @@
         let urgent = waiting.priority == 0;
         // Capacity reserved for the unit is being freed; it is tried again when the reservation
         // expires.
-        let already_reserved = pool
-            .candidates
-            .iter()
-            .any(|candidate| candidate.reserved.as_ref() == Some(&blocked.claim));
+        let already_reserved = pool.reserved_claims().any(|claim| *claim == blocked.claim);
         if already_reserved {
             *reserved += usize::from(!urgent);
             return;
@@ -205,7 +202,7 @@
             let upstream = &mut self.upstreams[pool.upstream_indexes[index]];
             upstream.reserved = Some(blocked.claim.clone());
             upstream.reserved_until_ms = until_ms;
-            pool.candidates[index].reserved = Some(blocked.claim.clone());
+            pool.reserve(index, &blocked.claim);
         }
     }
 
--- a/src/work/placing/placement.rs
+++ b/src/work/placing/placement.rs
@@ -7,6 +7,7 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::model::amount::ResourceAmount;
+use crate::work::placing::sibling_counts::SiblingCounts;
 use crate::work::placing::slowdown::{SpeedPreference, UpstreamSlowdown};
 
 /// An upstream that may take new work.
@@ -91,8 +92,8 @@
     pub may_span_racks: bool,
     /// Most tasks of the step on one upstream (anti-affinity); 0 for no limit.
     pub spread_max: usize,
-    /// Upstreams of the step's placed tasks, one entry a task.
-    pub siblings: Vec<ObjectName>,
+    /// Placed tasks of the step, if their number on an upstream is limited.
+    pub siblings: SiblingCounts,
     /// Upstreams to use only if no other fits.
     pub avoided_upstreams: Vec<ObjectName>,
     /// Preferred speed of the upstreams.
@@ -101,6 +102,24 @@
     pub isolation: Isolation,
 }
 
+impl UnitDemand {
+    /// Returns whether another demand fits wherever this one does. That does not depend on the
+    /// preferred speed.
+    pub fn needs_same_room(&self, other: &Self) -> bool {
+        self.count == other.count
+            && self.need == other.need
+            && self.label == other.label
+            && self.data_rack == other.data_rack
+            && self.any_rack == other.any_rack
+            && self.same_rack == other.same_rack
+            && self.may_span_racks == other.may_span_racks
+            && self.spread_max == other.spread_max
+            && self.isolation == other.isolation
+            && self.avoided_upstreams == other.avoided_upstreams
+            && self.siblings == other.siblings
+    }
+}
+
 /// Chooses an upstream for each task of a unit, as indexes into `candidates`. Returns `None` if the
 /// tasks do not all fit.
 pub fn place_unit(
@@ -139,13 +158,16 @@
 impl PlacementSearch<'_> {
     fn place(&self) -> Option<Vec<usize>> {
         let demand = self.demand;
+        if demand.count == 1 {
+            return self.place_task().map(|index| vec![index]);
+        }
         if let Some(rack) = &demand.data_rack {
             let chosen = self.pack(|upstream| upstream.rack.as_ref() == Some(rack));
             if chosen.is_some() || !demand.any_rack {
                 return chosen;
             }
         }
-        if demand.same_rack && demand.count > 1 {
+        if demand.same_rack {
             let chosen = self.pack_one_rack();
             if chosen.is_some() || !demand.may_span_racks {
                 return chosen;
@@ -154,19 +176,33 @@
         self.pack(|_| true)
     }
 
+    fn place_task(&self) -> Option<usize> {
+        let ranked = self
+            .candidates
+            .iter()
+            .enumerate()
+            .filter_map(|(index, one)| {
+                let rank = TaskRank::new(self.demand, self.claim, one)?;
+                Some((rank, index))
+            });
+        ranked.min().map(|(_, index)| index)
+    }
+
     /// Packs the unit into the fitting rack whose upstreams suit it best in speed, of those into the
     /// one with the least free capacity, so that emptier racks remain for other gangs.
     fn pack_one_rack(&self) -> Option<Vec<usize>> {
-        let wanted = self.demand.count as u64;
-        let slots = |upstream: &CandidateUpstream| match self.is_feasible(upstream) {
-            true => (free_task_slots(self.demand, upstream) as u64).min(wanted),
-            false => 0,
-        };
-        let mut fitting = slots_by_rack(self.candidates, slots);
-        fitting.retain(|rack| rack.slots >= wanted);
-        let packed = fitting.into_iter().filter_map(|rack| {
-            let chosen = self.pack(|upstream| upstream.rack.as_ref() == Some(rack.rack))?;
-            Some((self.speed_penalty(&chosen), rack.slots, chosen))
+        let wanted = self.demand.count;
+        let order = self.order(|upstream| upstream.rack.is_some());
+        let rack = |index: usize| &self.candidates[index].rack;
+        let mut by_rack = order;
+        by_rack.sort_by_key(|&index| rack(index));
+        let racks = by_rack.chunk_by(|&left, &right| rack(left) == rack(right));
+        let packed = racks.filter_map(|order| {
+            let chosen = self.take_slots(order)?;
+            let slots = order
+                .iter()
+                .map(|&index| self.free_slots(index).min(wanted));
+            Some((self.speed_penalty(&chosen), slots.sum::<usize>(), chosen))
         });
         let best = packed.min_by_key(|(penalty, slots, _)| (*penalty, *slots));
         best.map(|(_, _, chosen)| chosen)
@@ -182,31 +218,62 @@
     }
 
     fn pack(&self, allowed: impl Fn(&CandidateUpstream) -> bool) -> Option<Vec<usize>> {
+        self.take_slots(&self.order(allowed))
+    }
+
+    /// Returns the feasible candidates among the allowed ones, the first choice first.
+    fn order(&self, allowed: impl Fn(&CandidateUpstream) -> bool) -> Vec<usize> {
         let (demand, candidates) = (self.demand, self.candidates);
-        let suitable = (0..candidates.len())
-            .filter(|&index| self.is_feasible(&candidates[index]))
-            .filter(|&index| allowed(&candidates[index]));
-        if demand.count == 1 {
-            let best =
-                suitable.min_by_key(|&index| (placement_score(demand, &candidates[index]), index));
-            return best.map(|index| vec![index]);
-        }
-        let mut order: Vec<usize> = suitable.collect();
+        let mut order: Vec<usize> = (0..candidates.len())
+            .filter(|&index| allowed(&candidates[index]))
+            .filter(|&index| is_feasible(demand, self.claim, &candidates[index]))
+            .collect();
         order.sort_by_cached_key(|&index| (placement_score(demand, &candidates[index]), index));
-        let mut chosen = Vec::with_capacity(demand.count);
-        for index in order {
-            let slots =
-                free_task_slots(demand, &candidates[index]).min(demand.count - chosen.len());
+        order
+    }
+
+    /// Takes slots for all tasks in this order; `None` if there are too few.
+    fn take_slots(&self, order: &[usize]) -> Option<Vec<usize>> {
+        let wanted = self.demand.count;
+        let mut chosen = Vec::with_capacity(wanted);
+        for &index in order {
+            let slots = self.free_slots(index).min(wanted - chosen.len());
             chosen.extend(std::iter::repeat_n(index, slots));
-            if chosen.len() == demand.count {
+            if chosen.len() == wanted {
                 return Some(chosen);
             }
         }
         None
     }
 
-    fn is_feasible(&self, upstream: &CandidateUpstream) -> bool {
-        is_eligible(self.demand, self.claim, upstream) && free_task_slots(self.demand, upstream) > 0
+    fn free_slots(&self, index: usize) -> usize {
+        free_task_slots(self.demand, &self.candidates[index])
+    }
+}
+
+/// Rank of an upstream for a single task; the smallest is chosen first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TaskRank {
+    outside_data_rack: bool,
+    score: PlacementScore,
+}
+
+impl TaskRank {
+    /// Returns the rank of an upstream for a task of a demand; `None` if the task cannot go there.
+    pub fn new(
+        demand: &UnitDemand,
+        claim: &CapacityClaim,
+        upstream: &CandidateUpstream,
+    ) -> Option<Self> {
+        let data_rack = demand.data_rack.as_ref();
+        let outside_data_rack = data_rack.is_some_and(|rack| upstream.rack.as_ref() != Some(rack));
+        if outside_data_rack && !demand.any_rack || !is_feasible(demand, claim, upstream) {
+            return None;
+        }
+        Some(Self {
+            outside_data_rack,
+            score: placement_score(demand, upstream),
+        })
     }
 }
 
@@ -271,6 +338,10 @@
     label.is_none_or(|label| upstream.labels.contains(label)) && upstream.admits(claim)
 }
 
+fn is_feasible(demand: &UnitDemand, claim: &CapacityClaim, upstream: &CandidateUpstream) -> bool {
+    is_eligible(demand, claim, upstream) && free_task_slots(demand, upstream) > 0
+}
+
 fn free_task_slots(demand: &UnitDemand, upstream: &CandidateUpstream) -> usize {
     if demand.isolation == Isolation::Required && !upstream.is_idle() {
         return 0;
@@ -285,9 +356,6 @@
     if demand.spread_max == 0 {
         return slots;
     }
-    let siblings_here = demand
-        .siblings
-        .iter()
-        .filter(|name| **name == upstream.name);
-    slots.min(demand.spread_max.saturating_sub(siblings_here.count()))
+    let siblings_here = demand.siblings.on(&upstream.name);
+    slots.min(demand.spread_max.saturating_sub(siblings_here))
 }
--- /dev/null
+++ b/tests/placement_cost.rs
@@ -0,0 +1,208 @@
+//! Tests of the work that the owner does to place units, in steps rather than in time.
+
+mod support;
+
+use hemlockramp::work::clock::HostTime;
+use hemlockramp::work::model::amount::ResourceAmount;
+use hemlockramp::work::model::spec::StepSpec;
+use hemlockramp::work::owner::work_counts::WorkKind;
+use hemlockramp::work::placing::placement::{
+    CandidateUpstream, CapacityClaim, Isolation, UnitDemand, place_unit,
+};
+use hemlockramp::work::placing::ranking::CandidateRanking;
+use hemlockramp::work::placing::slowdown::{SlowdownLimit, SpeedPreference, UpstreamSlowdown};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use support::pool_sim::{PoolSim, name, step};
+
+const SEED: u64 = 7;
+/// Upstreams of a large pool.
+const MANY_UPSTREAMS: usize = 1_100;
+
+/// Work of some placement rounds.
+#[derive(Clone, Copy, Debug)]
+struct RoundWork {
+    placements: u64,
+    search_steps: u64,
+}
+
+fn pool(upstreams: usize) -> PoolSim {
+    let capacity = ResourceAmount {
+        cpu_milli: 64_000,
+        memory_mb: 128_000,
+        accelerators: 8,
+    };
+    let mut pool = PoolSim::new(ChaCha8Rng::seed_from_u64(SEED), upstreams, capacity);
+    pool.take_over();
+    pool
+}
+
+/// Runs one placement round and returns its work.
+fn run_round(pool: &mut PoolSim) -> RoundWork {
+    pool.now_ms += 10;
+    let now = HostTime {
+        steady_ms: pool.now_ms,
+        wall_ms: pool.now_ms,
+    };
+    let owner = pool.owner.as_mut().expect("an owner");
+    let before = owner.counts().clone();
+    owner.tick(now);
+    let done = |kind| owner.counts().get(kind) - before.get(kind);
+    RoundWork {
+        placements: done(WorkKind::Placement),
+        search_steps: done(WorkKind::SearchStep),
+    }
+}
+
+/// A step of single tasks that are spread over the upstreams.
+fn spread_step(count: u32, spread_max: u32) -> StepSpec {
+    let mut spread = step(count, 10_000, 0, false);
+    spread.need = ResourceAmount {
+        cpu_milli: 10,
+        memory_mb: 8,
+        accelerators: 0,
+    };
+    spread.spread_max = spread_max;
+    spread
+}
+
+/// Cases of `search_of_room_for_a_step_does_not_grow_with_its_tasks`.
+struct StepCase {
+    name: &'static str,
+    upstreams: usize,
+    step: StepSpec,
+    /// Steps for each upstream.
+    per_upstream: u64,
+    /// Steps for each task.
+    per_task: u64,
+}
+
+/// Guards against a silent owner (the large site, deadly days): each placement compared the names of
+/// all placed tasks of the step with those of all upstreams.
+#[test]
+fn search_of_room_for_a_step_does_not_grow_with_its_tasks() {
+    let cases = [
+        StepCase {
+            name: "one task on few upstreams",
+            upstreams: 50,
+            step: step(1, 10_000, 1, false),
+            per_upstream: 3,
+            per_task: 4,
+        },
+        StepCase {
+            name: "one task on many upstreams",
+            upstreams: MANY_UPSTREAMS,
+            step: step(1, 10_000, 1, false),
+            per_upstream: 3,
+            per_task: 4,
+        },
+        StepCase {
+            name: "a wide step",
+            upstreams: MANY_UPSTREAMS,
+            step: step(416, 10_000, 1, false),
+            per_upstream: 3,
+            per_task: 4,
+        },
+        StepCase {
+            name: "a wide spread step",
+            upstreams: MANY_UPSTREAMS,
+            step: spread_step(416, 2),
+            per_upstream: 3,
+            per_task: 4,
+        },
+        StepCase {
+            name: "a gang",
+            upstreams: MANY_UPSTREAMS,
+            step: step(16, 10_000, 1, true),
+            per_upstream: 3,
+            per_task: 4,
+        },
+    ];
+    for case in cases {
+        let mut pool = pool(case.upstreams);
+        let tasks = u64::from(case.step.count);
+        let units = if case.step.gang { 1 } else { tasks };
+        pool.submit("a", "plain", vec![case.step]);
+        let work = run_round(&mut pool);
+        assert_eq!(work.placements, units, "{}", case.name);
+        let allowed = case.per_upstream * case.upstreams as u64 + case.per_task * tasks;
+        assert!(work.search_steps <= allowed, "{}: {work:?}", case.name);
+    }
+}
+
+/// Returns candidates of all kinds of rooms and speeds.
+fn mixed_candidates(random: &mut ChaCha8Rng, count: usize) -> Vec<CandidateUpstream> {
+    let capacity = amount(8);
+    let one = |index| CandidateUpstream {
+        name: name(&format!("u{index:02}")),
+        rack: (random.random_range(0..8) > 0).then(|| name(&format!("r{}", index / 4))),
+        labels: vec![name(["a", "b"][random.random_range(0..2)])],
+        capacity,
+        free: amount(random.random_range(0..9)),
+        failure_score: f64::from(random.random_range(0..4)) / 4.0,
+        slowdown: UpstreamSlowdown::new(random.random_range(-0.5..0.9), 0.2),
+        reserved: (random.random_range(0..6) == 0).then(|| claim(random.random_range(0..4))),
+    };
+    (0..count).map(one).collect()
+}
+
+fn amount(accelerators: u64) -> ResourceAmount {
+    ResourceAmount {
+        cpu_milli: accelerators * 1_000,
+        memory_mb: accelerators * 1_000,
+        accelerators,
+    }
+}
+
+fn claim(rank: u32) -> CapacityClaim {
+    CapacityClaim {
+        job: name("job"),
+        unit: 0,
+        rank,
+    }
+}
+
+fn mixed_demand(random: &mut ChaCha8Rng) -> UnitDemand {
+    let limit = SlowdownLimit::new(random.random_range(900..2_000), 1_000);
+    UnitDemand {
+        count: 1,
+        need: amount(random.random_range(1..4)),
+        label: (random.random_range(0..3) == 0).then(|| name("a")),
+        data_rack: (random.random_range(0..3) == 0).then(|| name("r1")),
+        any_rack: random.random_range(0..3) > 0,
+        spread_max: random.random_range(0..3),
+        avoided_upstreams: vec![name("u03")],
+        speed: SpeedPreference {
+            limit,
+            yields: None,
+        },
+        isolation: [Isolation::None, Isolation::Preferred, Isolation::Required]
+            [random.random_range(0..3)],
+        ..UnitDemand::default()
+    }
+}
+
+#[test]
+fn a_ranking_kept_over_placements_chooses_like_a_new_search() {
+    let mut random = ChaCha8Rng::seed_from_u64(SEED);
+    let mut placed = 0;
+    for round in 0..300 {
+        let mut candidates = mixed_candidates(&mut random, 24);
+        let mut demand = mixed_demand(&mut random);
+        let claim = claim(2);
+        let mut ranking = CandidateRanking::new(&demand, &claim, &candidates);
+        loop {
+            let chosen = place_unit(&demand, &claim, &candidates);
+            let first = ranking.first().map(|index| vec![index]);
+            assert_eq!(first, chosen, "round {round}: {demand:?}");
+            let Some(&[index]) = chosen.as_deref() else {
+                break;
+            };
+            placed += 1;
+            candidates[index].free = candidates[index].free.minus(&demand.need);
+            demand.siblings.add(&candidates[index].name);
+            ranking.renew_first(&demand, &claim, &candidates);
+        }
+    }
+    assert!(placed > 1_000, "{placed}");
+}
--- a/tests/work_decisions.rs
+++ b/tests/work_decisions.rs
@@ -133,7 +133,7 @@
             what: "a step with a spread limit avoids upstreams of its siblings",
             demand: UnitDemand {
                 spread_max: 1,
-                siblings: vec![name("u0")],
+                siblings: [name("u0")].into_iter().collect(),
                 ..single(1)
             },
             free: &[2, 5],
