Count all that a search of room looks at

The count of search steps left out what making room looks at: the tasks held on upstreams, once for each horizon, the running units that might be displaced, the slots that displacing them frees, and the units that are gone through for what a job holds. A test could not hold these against the size of the pool.

--- a/src/work/load/victims.rs
+++ b/src/work/load/victims.rs
@@ -4,6 +4,7 @@
 //! wait. Slots are freed one by one, on the upstreams where the least work is lost, and within one
 //! rack if the gang requires it. Only whole units are preempted.
 
+use std::cell::Cell;
 use std::cmp::Reverse;
 
 use crate::tables::name::ObjectName;
@@ -76,77 +77,135 @@
     candidates: &[CandidateUpstream],
     victims: &[&VictimUnit],
 ) -> Option<Vec<usize>> {
-    let by_upstream = victims_by_upstream(candidates.len(), victims);
-    let slots_of = |index: usize| {
-        let slots_max = max_task_slots(demand, claim, &candidates[index]);
-        preempt_slots(
+    VictimSearch::new(demand, claim, candidates, victims).choose()
+}
+
+/// Search of the victims that make a unit fit.
+pub struct VictimSearch<'a> {
+    demand: &'a UnitDemand,
+    claim: &'a CapacityClaim,
+    candidates: &'a [CandidateUpstream],
+    victims: &'a [&'a VictimUnit],
+    steps: Cell<usize>,
+}
+
+impl<'a> VictimSearch<'a> {
+    /// Creates the search for a unit among the given victims.
+    pub fn new(
+        demand: &'a UnitDemand,
+        claim: &'a CapacityClaim,
+        candidates: &'a [CandidateUpstream],
+        victims: &'a [&'a VictimUnit],
+    ) -> Self {
+        Self {
             demand,
+            claim,
             candidates,
             victims,
-            index,
-            &by_upstream[index],
-            slots_max,
-        )
-    };
-    let slots: Vec<Vec<PreemptedSlot>> = (0..candidates.len()).map(slots_of).collect();
-    let racks = allowed_racks(demand, candidates);
-    let choices = racks.iter().filter_map(|rack| {
-        let inside = |index: &usize| rack.is_none() || candidates[*index].rack == *rack;
-        let usable = (0..slots.len()).filter(inside);
-        cheapest_slots(
-            usable.map(|index| slots[index].as_slice()).collect(),
-            victims,
-            demand.count,
-        )
-    });
-    let cheapest = choices.min_by_key(|choice| choice.cost)?;
-    Some(cheapest.victims)
-}
+            steps: Cell::new(0),
+        }
+    }
 
-/// Takes `wanted` slots, given those of each upstream in the order in which they are freed. A slot
-/// may cost nothing once an earlier one on its upstream has been freed, so the slots up to it are
-/// taken together; and one costs nothing where a victim chosen for another upstream also runs, so
-/// that the room of a displaced gang is used. Returns `None` if there are not enough.
-fn cheapest_slots(
-    mut by_upstream: Vec<&[PreemptedSlot]>,
-    victims: &[&VictimUnit],
-    wanted: usize,
-) -> Option<SlotChoice> {
-    let mut choice = SlotChoice::default();
-    let mut missing = wanted;
-    while missing > 0 {
-        let prefixes = by_upstream.iter().enumerate().filter_map(|(index, slots)| {
-            Some((cheapest_prefix(slots, victims, &choice, missing)?, index))
+    /// Returns how many candidates, victims and slots the search has looked at.
+    pub fn steps(&self) -> usize {
+        self.steps.get()
+    }
+
+    /// Returns the victims as indexes; `None` if no choice makes the unit fit.
+    pub fn choose(&self) -> Option<Vec<usize>> {
+        let candidates = self.candidates;
+        let by_upstream = victims_by_upstream(candidates.len(), self.victims);
+        let slots: Vec<Vec<PreemptedSlot>> = (0..candidates.len())
+            .map(|index| self.preempt_slots(index, &by_upstream[index]))
+            .collect();
+        let racks = allowed_racks(self.demand, candidates);
+        let choices = racks.iter().filter_map(|rack| {
+            let inside = |index: &usize| rack.is_none() || candidates[*index].rack == *rack;
+            self.count(slots.len());
+            let usable = (0..slots.len()).filter(inside);
+            self.cheapest_slots(usable.map(|index| slots[index].as_slice()).collect())
         });
-        let (prefix, index) = prefixes.min()?;
-        let Reverse(count) = prefix.slots;
-        let (taken, rest) = by_upstream[index].split_at(count);
-        by_upstream[index] = rest;
-        for slot in taken {
-            choice.add(slot, victims);
+        let cheapest = choices.min_by_key(|choice| choice.cost)?;
+        Some(cheapest.victims)
+    }
+
+    fn count(&self, steps: usize) {
+        self.steps.set(self.steps.get() + steps);
+    }
+
+    /// Takes a slot for each task, given those of each upstream in the order in which they are freed. A
+    /// slot may cost nothing once an earlier one on its upstream has been freed, so the slots up to it
+    /// are taken together; and one costs nothing where a victim chosen for another upstream also runs,
+    /// so that the room of a displaced gang is used. Returns `None` if there are not enough.
+    fn cheapest_slots(&self, mut by_upstream: Vec<&[PreemptedSlot]>) -> Option<SlotChoice> {
+        let mut choice = SlotChoice::default();
+        let mut missing = self.demand.count;
+        while missing > 0 {
+            let prefixes = by_upstream.iter().enumerate().filter_map(|(index, slots)| {
+                Some((self.cheapest_prefix(slots, &choice, missing)?, index))
+            });
+            let (prefix, index) = prefixes.min()?;
+            let Reverse(count) = prefix.slots;
+            let (taken, rest) = by_upstream[index].split_at(count);
+            by_upstream[index] = rest;
+            for slot in taken {
+                choice.add(slot, self.victims);
+            }
+            missing -= count;
         }
-        missing -= count;
+        Some(choice)
     }
-    Some(choice)
-}
 
-/// Returns the prefix of up to `missing` slots that loses the least work for each slot, the longest
-/// of equals; `None` if no slot is left.
-fn cheapest_prefix(
-    slots: &[PreemptedSlot],
-    victims: &[&VictimUnit],
-    choice: &SlotChoice,
-    missing: usize,
-) -> Option<SlotPrefix> {
-    let mut cost = 0;
-    let prefixes = slots.iter().take(missing).enumerate().map(|(index, slot)| {
-        cost += slot.cost(victims, choice);
-        SlotPrefix {
-            cost_per_slot: cost / (index as u64 + 1),
-            slots: Reverse(index + 1),
+    /// Returns the prefix of up to `missing` slots that loses the least work for each slot, the longest
+    /// of equals; `None` if no slot is left.
+    fn cheapest_prefix(
+        &self,
+        slots: &[PreemptedSlot],
+        choice: &SlotChoice,
+        missing: usize,
+    ) -> Option<SlotPrefix> {
+        self.count(1 + slots.len().min(missing));
+        let mut cost = 0;
+        let prefixes = slots.iter().take(missing).enumerate().map(|(index, slot)| {
+            cost += slot.cost(self.victims, choice);
+            SlotPrefix {
+                cost_per_slot: cost / (index as u64 + 1),
+                slots: Reverse(index + 1),
+            }
+        });
+        prefixes.min()
+    }
+
+    /// Frees slots for tasks on one upstream, one after the other.
+    fn preempt_slots(&self, index: usize, on_upstream: &[usize]) -> Vec<PreemptedSlot> {
+        let demand = self.demand;
+        let upstream = &self.candidates[index];
+        let slots_max = max_task_slots(demand, self.claim, upstream).min(demand.count);
+        let mut free = upstream.free;
+        let mut next = on_upstream.iter();
+        let mut slots = Vec::new();
+        self.count(1);
+        while slots.len() < slots_max {
+            let mut slot = PreemptedSlot {
+                victims: Vec::new(),
+            };
+            while !free.holds(&demand.need) {
+                let Some(&victim) = next.next() else {
+                    return slots;
+                };
+                let unit = self.victims[victim];
+                self.count(unit.upstreams.len());
+                let tasks = unit.upstreams.iter().filter(|&&at| at == index).count();
+                for _ in 0..tasks {
+                    free = free.plus(&unit.need);
+                }
+                slot.victims.push(victim);
+            }
+            free = free.minus(&demand.need);
+            slots.push(slot);
         }
-    });
-    prefixes.min()
+        slots
+    }
 }
 
 /// Returns the victims on each upstream, those that lose the least first. Urgent claims, which would
@@ -169,39 +228,6 @@
     sorted
 }
 
-/// Frees up to `slots_max` slots on one upstream, one after the other.
-fn preempt_slots(
-    demand: &UnitDemand,
-    candidates: &[CandidateUpstream],
-    victims: &[&VictimUnit],
-    index: usize,
-    on_upstream: &[usize],
-    slots_max: usize,
-) -> Vec<PreemptedSlot> {
-    let mut free = candidates[index].free;
-    let mut next = on_upstream.iter();
-    let mut slots = Vec::new();
-    while slots.len() < slots_max.min(demand.count) {
-        let mut slot = PreemptedSlot {
-            victims: Vec::new(),
-        };
-        while !free.holds(&demand.need) {
-            let Some(&victim) = next.next() else {
-                return slots;
-            };
-            let unit = victims[victim];
-            let tasks = unit.upstreams.iter().filter(|&&at| at == index).count();
-            for _ in 0..tasks {
-                free = free.plus(&unit.need);
-            }
-            slot.victims.push(victim);
-        }
-        free = free.minus(&demand.need);
-        slots.push(slot);
-    }
-    slots
-}
-
 /// Returns the racks to which the whole unit may be confined; `None` stands for any upstream.
 fn allowed_racks(demand: &UnitDemand, candidates: &[CandidateUpstream]) -> Vec<Option<ObjectName>> {
     if let Some(rack) = &demand.data_rack
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -145,7 +145,10 @@
             speed: self.speed_preference(job, unit, waiting),
             isolation: self.isolation(job, unit, waited_ms),
         };
-        demand.may_span_racks |= demand.same_rack && !fits_in_one_rack(&demand, &pool.candidates);
+        if demand.same_rack && !demand.may_span_racks {
+            self.counts.add(WorkKind::SearchStep, pool.candidates.len());
+            demand.may_span_racks = !fits_in_one_rack(&demand, &pool.candidates);
+        }
         demand
     }
 
--- a/src/work/owner/preemption.rs
+++ b/src/work/owner/preemption.rs
@@ -4,7 +4,7 @@
 use crate::work::load::delay_cost::{RunningUnit, UnitOutlook};
 use crate::work::load::queue_order::WaitingUnit;
 use crate::work::load::room_choice::{RoomChoice, RoomOptions};
-use crate::work::load::victims::{VictimUnit, choose_victims};
+use crate::work::load::victims::{VictimSearch, VictimUnit};
 use crate::work::owner::PoolOwner;
 use crate::work::owner::placement_pool::PlacementPool;
 use crate::work::owner::unit_state::UnitPhase;
@@ -65,7 +65,7 @@
         }
         // Capacity freed by stops in progress may be enough.
         let after_stops = self.upstreams_after_stops(pool);
-        if let Some(chosen) = place_unit(blocked.demand, &blocked.claim, &after_stops) {
+        if let Some(chosen) = self.find_room(blocked, pool, &after_stops) {
             self.reserve(blocked, pool, &chosen);
             return;
         }
@@ -77,7 +77,7 @@
             return;
         }
         let without_weaker = self.upstreams_without_weaker(blocked.claim.rank, pool);
-        if let Some(chosen) = place_unit(blocked.demand, &blocked.claim, &without_weaker) {
+        if let Some(chosen) = self.find_room(blocked, pool, &without_weaker) {
             self.reserve(blocked, pool, &chosen);
         }
     }
@@ -92,7 +92,9 @@
     ) -> bool {
         let running = self.running_victims(blocked, pool);
         let victims: Vec<&VictimUnit> = running.iter().map(|one| &one.victim).collect();
-        let chosen = choose_victims(blocked.demand, &blocked.claim, after_stops, &victims);
+        let search = VictimSearch::new(blocked.demand, &blocked.claim, after_stops, &victims);
+        let chosen = search.choose();
+        self.counts.add(WorkKind::SearchStep, search.steps());
         let Some(chosen) = chosen else {
             // It is tried again in the next round: a reservation would hold that up.
             return true;
@@ -157,11 +159,23 @@
             self.stop_unit(*job, *unit);
         }
         let after_stops = self.upstreams_after_stops(pool);
-        if let Some(chosen) = place_unit(blocked.demand, &blocked.claim, &after_stops) {
+        if let Some(chosen) = self.find_room(blocked, pool, &after_stops) {
             self.reserve(blocked, pool, &chosen);
         }
     }
 
+    /// Chooses candidates for the unit, given the pool's candidates as they would be.
+    pub(super) fn find_room(
+        &self,
+        blocked: &BlockedUnit,
+        pool: &PlacementPool,
+        candidates: &[CandidateUpstream],
+    ) -> Option<Vec<usize>> {
+        let steps = pool.search_steps(blocked.demand);
+        self.counts.add(WorkKind::SearchStep, steps);
+        place_unit(blocked.demand, &blocked.claim, candidates)
+    }
+
     /// Returns the candidates as they will be once all stops in progress are complete.
     fn upstreams_after_stops(&self, pool: &PlacementPool) -> Vec<CandidateUpstream> {
         self.upstreams_without(pool, |job, unit| {
@@ -186,6 +200,8 @@
         let mut candidates = pool.candidates.clone();
         self.counts.add(WorkKind::SearchStep, candidates.len());
         for (candidate, &index) in candidates.iter_mut().zip(&pool.upstream_indexes) {
+            let held = self.upstreams[index].held.len();
+            self.counts.add(WorkKind::SearchStep, held);
             for held in &self.upstreams[index].held {
                 let job = self.job_index(&held.job);
                 if job.is_some_and(|job| is_removed(job, held.unit)) {
@@ -216,6 +232,7 @@
             if ranks[victim_job] <= rank {
                 continue;
             }
+            self.counts.add(WorkKind::SearchStep, state.units.len());
             for unit in 0..state.units.len() {
                 let preemptible = state.units[unit].phase == UnitPhase::Active;
                 if preemptible && !state.step(unit).lasting {
@@ -237,6 +254,8 @@
     ) -> Option<RunningVictim> {
         let state = &self.jobs[job];
         let step = state.step(unit);
+        let members = state.units[unit].members.len();
+        self.counts.add(WorkKind::SearchStep, members);
         let position = |name: &ObjectName| {
             // Upstreams and candidates are both sorted by name.
             pool.candidates
--- a/src/work/owner/run_ends.rs
+++ b/src/work/owner/run_ends.rs
@@ -5,7 +5,7 @@
 use crate::work::owner::placement_pool::PlacementPool;
 use crate::work::owner::preemption::BlockedUnit;
 use crate::work::owner::unit_state::{MemberState, UnitPhase};
-use crate::work::placing::placement::place_unit;
+use crate::work::owner::work_counts::WorkKind;
 use crate::work::placing::remaining::remaining_ms;
 use crate::work::placing::slowdown::{TaskProgress, UpstreamSlowdown};
 
@@ -50,7 +50,7 @@
                         .binary_search_by_key(&(job, unit), |end| (end.job, end.unit))
                         .is_ok_and(|index| ends[index].after_ms <= after_ms)
             });
-            let chosen = place_unit(blocked.demand, &blocked.claim, &candidates)?;
+            let chosen = self.find_room(blocked, pool, &candidates)?;
             Some(EndingRoom { after_ms, chosen })
         })
     }
@@ -59,6 +59,7 @@
     fn expected_ends(&self, within_ms: i64) -> Vec<ExpectedEnd> {
         let mut ends = Vec::new();
         for (job, state) in self.jobs.iter().enumerate() {
+            self.counts.add(WorkKind::SearchStep, state.units.len());
             for unit in 0..state.units.len() {
                 if state.units[unit].phase != UnitPhase::Active || state.step(unit).lasting {
                     continue;
--- a/src/work/owner/team_usage.rs
+++ b/src/work/owner/team_usage.rs
@@ -5,6 +5,7 @@
 use crate::work::model::amount::ResourceAmount;
 use crate::work::owner::PoolOwner;
 use crate::work::owner::unit_state::{MemberPhase, MemberState};
+use crate::work::owner::work_counts::WorkKind;
 use crate::work::placing::placement::claim_rank;
 
 /// Accelerators held by a team's urgent jobs.
@@ -131,6 +132,7 @@
     /// Returns the capacity that a job holds on upstreams.
     fn held(&self, job: usize) -> ResourceAmount {
         let state = &self.jobs[job];
+        self.counts.add(WorkKind::SearchStep, state.units.len());
         let placed = |member: &&MemberState| member.phase != MemberPhase::Unplaced;
         let of_unit = |unit: usize| {
             let members = state.units[unit].members.iter().filter(placed).count() as u64;
--- a/src/work/owner/work_counts.rs
+++ b/src/work/owner/work_counts.rs
@@ -16,7 +16,7 @@
     Placement,
     /// Rows of failures that were read to score upstreams.
     BlameStep,
-    /// Upstreams that were looked at to place units or to make room for them.
+    /// Upstreams, tasks and units that were looked at to place units or to make room for them.
     SearchStep,
     /// Tasks and upstreams that were looked at for what is due: leases, renewals, orders.
     ScanStep,
