Cut a placement round short when it has done enough

Callers saw leases of sound work lapse and hosts replace each other without end: a round went through the whole queue at once, and heartbeats, renewals and answers waited until its end. How long that takes is up to the callers: one job of 20,000 tasks was placed in one round, and 400 gangs that do not fit took 2.8 million search steps.

A round now ends after 100,000 search steps or 512 placed tasks (as many as the widest gang has), and placement is due again at once, so that the owner's other duties get their turn between. Counts, not times, so that it does not depend on the machine. Each round goes through the queue in its order and advances by one unit at least. Steps that were tried since the queue was last gone through to its end are tried again in their order, since room may have come free, but leave half of the search to those not reached yet: what does not fit keeps nobody behind it from its turn.

Both tests failed before: 20,000 placements in one round (512 allowed), and 2,804,202 search steps in one (150,000 allowed).

--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -14,7 +14,9 @@
 pub mod job_state;
 mod loss_proof;
 mod placed_speed;
+mod placement_pass;
 mod placement_pool;
+mod placement_round;
 pub mod planning;
 mod preemption;
 mod reconcile;
@@ -53,6 +55,7 @@
 use crate::work::owner::failure_ledger::FailureLedger;
 use crate::work::owner::job_state::JobState;
 use crate::work::owner::loss_proof::LossProof;
+use crate::work::owner::placement_pass::PlacementPass;
 use crate::work::owner::unit_state::{MemberPhase, UnitPhase};
 use crate::work::owner::upstream_state::{LEASE_EXPIRY_MARGIN_MS, UpstreamState};
 use crate::work::owner::work_counts::WorkCounts;
@@ -102,6 +105,7 @@
     rows_to_drop: Vec<String>,
     now: HostTime,
     placement_due: bool,
+    placement_pass: PlacementPass,
     /// Time of the last placement round, steady ms.
     last_placement_ms: u64,
     /// Time of the next scan of all members for unanswered orders, steady ms.
@@ -142,6 +146,7 @@
             rows_to_drop: Vec::new(),
             now,
             placement_due: true,
+            placement_pass: PlacementPass::default(),
             last_placement_ms: 0,
             next_order_scan_ms: 0,
             next_departure_ms: 0,
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -1,4 +1,4 @@
-//! Placement rounds over all waiting units.
+//! What a waiting unit asks for, and its placement.
 
 use crate::tables::name::ObjectName;
 use crate::work::load::queue_order::WaitingUnit;
@@ -6,44 +6,19 @@
 use crate::work::owner::PoolOwner;
 use crate::work::owner::placed_speed::PlacedSpeed;
 use crate::work::owner::placement_pool::PlacementPool;
-use crate::work::owner::preemption::BlockedUnit;
-use crate::work::owner::step_search::StepSearch;
 use crate::work::owner::unit_state::{MemberPhase, MemberState, UnitPhase};
 use crate::work::owner::upstream_state::HeldTask;
-use crate::work::owner::waiting::WaitingStep;
 use crate::work::owner::work_counts::WorkKind;
 use crate::work::placing::locality_wait::LocalityWait;
-use crate::work::placing::placement::{
-    CandidateUpstream, CapacityClaim, Isolation, UnitDemand, claim_rank, fits_in_one_rack,
-};
+use crate::work::placing::placement::{CandidateUpstream, Isolation, UnitDemand, fits_in_one_rack};
 use crate::work::placing::sibling_counts::SiblingCounts;
 use crate::work::placing::slowdown::{SlowdownLimit, SpeedPreference};
 
-/// Guaranteed units for which one round searches capacity separately.
-const GUARANTEED_UNITS_MAX: usize = 6;
 /// Time to record, order and begin a run and to see its end, in ms.
 const RUN_START_MS: i64 = 300;
 /// Upstreams with a failed run that a unit avoids; only the newest count.
 const AVOIDED_UPSTREAMS_MAX: usize = 6;
 
-/// State that is carried through one placement round.
-struct PlacementRound {
-    pools: Vec<PlacementPool>,
-    /// Demands that could not be placed in this round; an equal demand fails too.
-    unplaceable: Vec<UnitDemand>,
-    /// Units other than urgent ones with a reservation.
-    reserved: usize,
-    /// Guaranteed units for which capacity was searched.
-    guaranteed: usize,
-}
-
-impl PlacementRound {
-    fn is_unplaceable(&self, demand: &UnitDemand) -> bool {
-        let mut unplaceable = self.unplaceable.iter();
-        unplaceable.any(|other| other.needs_same_room(demand))
-    }
-}
-
 impl PoolOwner {
     /// Returns the newest known rule of a job's queue: the current one, or the one at submission if
     /// the queue is gone or the job was admitted by a newer configuration than this host's.
@@ -55,25 +30,7 @@
         self.config.rule(&record.queue).unwrap_or(&record.rule)
     }
 
-    /// Places waiting units in queue order, and reserves or preempts capacity for those that do not
-    /// fit.
-    pub(super) fn place_waiting_units(&mut self) {
-        let teams = self.team_usage();
-        let mut waiting_steps = self.waiting_steps(&teams);
-        metrics::gauge!("hemlockramp_steps_waiting").set(waiting_steps.len() as f64);
-        metrics::gauge!("hemlockramp_jobs_open").set(self.jobs.len() as f64);
-        waiting_steps.sort_by_key(|waiting_step| (waiting_step.key, waiting_step.job));
-        let mut round = PlacementRound {
-            pools: Vec::new(),
-            unplaceable: Vec::new(),
-            reserved: 0,
-            guaranteed: 0,
-        };
-        for waiting_step in &waiting_steps {
-            self.place_step(waiting_step, &mut round);
-        }
-    }
-
+    /// Returns the schedulable upstreams of a pool.
     pub(super) fn placement_pool(&self, pool: &ObjectName) -> PlacementPool {
         self.counts.add(WorkKind::SearchStep, self.upstreams.len());
         let now_ms = self.now.steady_ms;
@@ -202,82 +159,8 @@
             .collect()
     }
 
-    fn place_step(&mut self, waiting_step: &WaitingStep, round: &mut PlacementRound) {
-        let job = waiting_step.job;
-        let priority = waiting_step.waiting.priority;
-        let name = self.rule(job).pool.clone();
-        let index = match round.pools.iter().position(|pool| pool.name == name) {
-            Some(index) => index,
-            None => {
-                round.pools.push(self.placement_pool(&name));
-                round.pools.len() - 1
-            }
-        };
-        let mut search = StepSearch::new(self.siblings(job, waiting_step.units[0]));
-        for &unit in &waiting_step.units {
-            let pool = &round.pools[index];
-            search.set_demand(self.demand(job, unit, &waiting_step.waiting, pool));
-            // Each guaranteed unit gets a reservation of its own, even if its demand equals
-            // another's.
-            let own_search =
-                waiting_step.waiting.guaranteed && round.guaranteed < GUARANTEED_UNITS_MAX;
-            let isolated = search.demand().isolation == Isolation::Required;
-            if !own_search && round.is_unplaceable(search.demand()) {
-                if isolated {
-                    continue;
-                }
-                return;
-            }
-            let pool = &mut round.pools[index];
-            let claim = CapacityClaim {
-                job: self.jobs[job].id.clone(),
-                unit,
-                rank: claim_rank(priority, waiting_step.waiting.guaranteed),
-            };
-            if pool.may_need_excluded(search.demand())
-                && (!pool.leaves_headroom(priority, search.demand())
-                    || search.place(&claim, pool, &self.counts).is_none())
-            {
-                *pool = pool.with_excluded();
-                self.counts.add(WorkKind::SearchStep, pool.candidates.len());
-                search.forget_candidates();
-            }
-            if !pool.leaves_headroom(priority, search.demand()) {
-                self.log_wait(job, unit, "headroom for urgent work", pool);
-                return;
-            }
-            let chosen = search.place(&claim, pool, &self.counts);
-            if chosen.is_none() && isolated {
-                // Other units of the step may share upstreams, and so may this one before long.
-                self.log_wait(job, unit, "no upstream of its own", pool);
-                round.unplaceable.push(search.demand().clone());
-                continue;
-            }
-            let Some(chosen) = chosen else {
-                let blocked = BlockedUnit {
-                    waiting: &waiting_step.waiting,
-                    demand: search.demand(),
-                    claim,
-                    outlook: self.unit_outlook(
-                        job,
-                        unit,
-                        self.jobs[job].record.spec.critical_path_ms(),
-                    ),
-                    estimate_ms: self.jobs[job].step(unit).estimate_ms,
-                };
-                round.guaranteed += usize::from(own_search);
-                self.log_wait(job, unit, "not enough free capacity", pool);
-                self.reserve_or_preempt(&blocked, pool, &mut round.reserved);
-                round.unplaceable.push(search.demand().clone());
-                return;
-            };
-            self.assign(job, unit, pool, &chosen, search.demand());
-            search.note_placed(&claim, pool, &chosen);
-        }
-    }
-
     /// Logs why a unit waits, once for each wait.
-    fn log_wait(&mut self, job: usize, unit: usize, reason: &str, pool: &PlacementPool) {
+    pub(super) fn log_wait(&mut self, job: usize, unit: usize, reason: &str, pool: &PlacementPool) {
         let state = &mut self.jobs[job];
         if std::mem::replace(&mut state.units[unit].wait_logged, true) {
             return;
@@ -290,7 +173,8 @@
         );
     }
 
-    fn assign(
+    /// Places a unit on the chosen candidates.
+    pub(super) fn assign(
         &mut self,
         job: usize,
         unit: usize,
--- a/tests/placement_cost.rs
+++ b/tests/placement_cost.rs
@@ -130,6 +130,73 @@
     }
 }
 
+/// Tasks that one round may place, with those of a gang beyond.
+const ROUND_TASKS_MAX: u64 = 512;
+/// Steps that one round may take: its bound, and one search beyond.
+const ROUND_STEPS_MAX: u64 = 150_000;
+/// Tasks of the widest job.
+const WIDEST_STEP: u32 = 20_000;
+
+/// Runs a placement round and checks that it is bounded.
+fn run_bounded_round(pool: &mut PoolSim) -> RoundWork {
+    let work = run_round(pool);
+    assert!(work.placements <= ROUND_TASKS_MAX, "{work:?}");
+    assert!(work.search_steps <= ROUND_STEPS_MAX, "{work:?}");
+    work
+}
+
+/// Guards against a pool without an owner (third review): one job of 20,000 tasks held each owner's
+/// thread for a whole round of some 25 s, so that its heartbeats and renewals got no turn.
+#[test]
+fn a_wide_step_is_placed_in_bounded_rounds() {
+    for upstreams in [48, MANY_UPSTREAMS] {
+        let mut pool = pool(upstreams);
+        pool.submit("wide", "plain", vec![spread_step(WIDEST_STEP, 1_000)]);
+        let first = run_bounded_round(&mut pool);
+        pool.submit("now", "urgent", vec![step(1, 10_000, 1, false)]);
+        run_bounded_round(&mut pool);
+        assert_eq!(
+            placed_tasks(&pool, "now"),
+            1,
+            "{upstreams}: urgent work waited"
+        );
+        let mut rounds = 2;
+        while placed_tasks(&pool, "wide") < WIDEST_STEP as usize {
+            run_bounded_round(&mut pool);
+            rounds += 1;
+            let needed = u64::from(WIDEST_STEP) / first.placements;
+            assert!(rounds < needed + 4, "{upstreams}: the rounds do not get on");
+        }
+    }
+}
+
+/// Guards against starvation: work that does not fit is searched for first in each round.
+#[test]
+fn a_round_that_is_cut_short_leaves_nobody_out() {
+    let mut pool = pool(MANY_UPSTREAMS);
+    for index in 0..400 {
+        let mut wide = step(2, 10_000, 9, true);
+        wide.need.cpu_milli += index;
+        pool.submit(&format!("wide{index}"), "urgent", vec![wide]);
+    }
+    pool.submit("small", "batch", vec![step(1, 10_000, 1, false)]);
+    let mut rounds = 0;
+    while placed_tasks(&pool, "small") == 0 {
+        run_bounded_round(&mut pool);
+        rounds += 1;
+        assert!(rounds < 100, "the last of the queue is never reached");
+    }
+}
+
+/// Returns the number of a job's tasks that are on upstreams.
+fn placed_tasks(pool: &PoolSim, job: &str) -> usize {
+    let owner = pool.owner.as_ref().expect("an owner");
+    let state = owner.jobs().iter().find(|state| state.id == name(job));
+    let units = &state.expect("the job").units;
+    let members = units.iter().flat_map(|unit| &unit.members);
+    members.filter(|member| member.upstream.is_some()).count()
+}
+
 /// Returns candidates of all kinds of rooms and speeds.
 fn mixed_candidates(random: &mut ChaCha8Rng, count: usize) -> Vec<CandidateUpstream> {
     let capacity = amount(8);
