Rate the slots of an upstream anew only when they change

An urgent gang on a full pool held up the owner: for each of its slots, the slots of all upstreams were rated anew to find the victims that lose the least, and for each victim the list of its upstreams was walked on each of them. For a gang of 416 on 1,100 upstreams of eight slots that is 4 million steps in one decision.

The cheapest slots of each upstream are kept in order. They change only where slots are taken, or where a victim that was just chosen also runs; ones that are more than are still missing rank no better later, so they are rated anew when they come first.

--- a/src/work/load/victims.rs
+++ b/src/work/load/victims.rs
@@ -7,7 +7,6 @@
 use std::cell::Cell;
 use std::cmp::Reverse;
 
-use crate::tables::name::ObjectName;
 use crate::work::model::amount::ResourceAmount;
 use crate::work::placing::placement::{
     CandidateUpstream, CapacityClaim, UnitDemand, claim_rank, max_task_slots,
@@ -41,7 +40,7 @@
 }
 
 /// The first slots of an upstream that are not taken yet. The cheapest are taken first.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct SlotPrefix {
     /// Work lost for each of its slots.
     cost_per_slot: u64,
@@ -118,13 +117,10 @@
         let slots: Vec<Vec<PreemptedSlot>> = (0..candidates.len())
             .map(|index| self.preempt_slots(index, &by_upstream[index]))
             .collect();
-        let racks = allowed_racks(self.demand, candidates);
-        let choices = racks.iter().filter_map(|rack| {
-            let inside = |index: &usize| rack.is_none() || candidates[*index].rack == *rack;
-            self.count(slots.len());
-            let usable = (0..slots.len()).filter(inside);
-            self.cheapest_slots(usable.map(|index| slots[index].as_slice()).collect())
-        });
+        let groups = allowed_groups(self.demand, candidates);
+        let choices = groups
+            .iter()
+            .filter_map(|group| self.cheapest_slots(group, &slots));
         let cheapest = choices.min_by_key(|choice| choice.cost)?;
         Some(cheapest.victims)
     }
@@ -133,25 +129,44 @@
         self.steps.set(self.steps.get() + steps);
     }
 
-    /// Takes a slot for each task, given those of each upstream in the order in which they are freed. A
-    /// slot may cost nothing once an earlier one on its upstream has been freed, so the slots up to it
-    /// are taken together; and one costs nothing where a victim chosen for another upstream also runs,
-    /// so that the room of a displaced gang is used. Returns `None` if there are not enough.
-    fn cheapest_slots(&self, mut by_upstream: Vec<&[PreemptedSlot]>) -> Option<SlotChoice> {
+    /// Takes a slot for each task on the upstreams of a group, given those of all upstreams in the order
+    /// in which they are freed. A slot may cost nothing once an earlier one on its upstream has been
+    /// freed, so the slots up to it are taken together; and one costs nothing where a victim chosen for
+    /// another upstream also runs, so that the room of a displaced gang is used. Returns `None` if there
+    /// are not enough.
+    fn cheapest_slots(&self, group: &[usize], slots: &[Vec<PreemptedSlot>]) -> Option<SlotChoice> {
         let mut choice = SlotChoice::default();
         let mut missing = self.demand.count;
+        let mut rest: Vec<&[PreemptedSlot]> =
+            group.iter().map(|&index| slots[index].as_slice()).collect();
+        let mut ranking = PrefixRanking::default();
+        for (at, slots) in rest.iter().enumerate() {
+            ranking.set(at, self.cheapest_prefix(slots, &choice, missing));
+        }
+        ranking.sort();
         while missing > 0 {
-            let prefixes = by_upstream.iter().enumerate().filter_map(|(index, slots)| {
-                Some((self.cheapest_prefix(slots, &choice, missing)?, index))
-            });
-            let (prefix, index) = prefixes.min()?;
+            let (prefix, at) = ranking.first()?;
             let Reverse(count) = prefix.slots;
-            let (taken, rest) = by_upstream[index].split_at(count);
-            by_upstream[index] = rest;
+            if count > missing {
+                // It was ranked when more were missing; it ranks no better now.
+                ranking.renew(at, self.cheapest_prefix(rest[at], &choice, missing));
+                continue;
+            }
+            let (taken, left) = rest[at].split_at(count);
+            rest[at] = left;
+            missing -= count;
+            let mut changed = vec![at];
             for slot in taken {
+                let added = slot.victims.iter().filter(|one| !choice.holds(**one));
+                let upstreams = added.flat_map(|&one| &self.victims[one].upstreams);
+                changed.extend(upstreams.filter_map(|index| group.binary_search(index).ok()));
                 choice.add(slot, self.victims);
             }
-            missing -= count;
+            changed.sort_unstable();
+            changed.dedup();
+            for at in changed {
+                ranking.renew(at, self.cheapest_prefix(rest[at], &choice, missing));
+            }
         }
         Some(choice)
     }
@@ -177,7 +192,7 @@
     }
 
     /// Frees slots for tasks on one upstream, one after the other.
-    fn preempt_slots(&self, index: usize, on_upstream: &[usize]) -> Vec<PreemptedSlot> {
+    fn preempt_slots(&self, index: usize, on_upstream: &[VictimTasks]) -> Vec<PreemptedSlot> {
         let demand = self.demand;
         let upstream = &self.candidates[index];
         let slots_max = max_task_slots(demand, self.claim, upstream).min(demand.count);
@@ -190,16 +205,13 @@
                 victims: Vec::new(),
             };
             while !free.holds(&demand.need) {
-                let Some(&victim) = next.next() else {
+                let Some(here) = next.next() else {
                     return slots;
                 };
-                let unit = self.victims[victim];
-                self.count(unit.upstreams.len());
-                let tasks = unit.upstreams.iter().filter(|&&at| at == index).count();
-                for _ in 0..tasks {
-                    free = free.plus(&unit.need);
-                }
-                slot.victims.push(victim);
+                self.count(1);
+                let need = self.victims[here.victim].need;
+                free = free.plus(&need.times(here.tasks));
+                slot.victims.push(here.victim);
             }
             free = free.minus(&demand.need);
             slots.push(slot);
@@ -208,42 +220,91 @@
     }
 }
 
+/// The cheapest prefixes of the upstreams of a group, by position in the group.
+#[derive(Default)]
+struct PrefixRanking {
+    /// `None` where no slot is left.
+    prefixes: Vec<Option<SlotPrefix>>,
+    /// Sorted, the cheapest last.
+    order: Vec<(SlotPrefix, usize)>,
+}
+
+impl PrefixRanking {
+    /// Sets the prefix of the next upstream.
+    fn set(&mut self, at: usize, prefix: Option<SlotPrefix>) {
+        self.prefixes.push(prefix);
+        self.order.extend(prefix.map(|prefix| (prefix, at)));
+    }
+
+    fn sort(&mut self) {
+        self.order.sort_unstable_by(|left, right| right.cmp(left));
+    }
+
+    fn first(&self) -> Option<(SlotPrefix, usize)> {
+        self.order.last().copied()
+    }
+
+    fn renew(&mut self, at: usize, prefix: Option<SlotPrefix>) {
+        let position = |order: &[(SlotPrefix, usize)], row| {
+            order.partition_point(|other: &(SlotPrefix, usize)| *other > row)
+        };
+        if let Some(before) = std::mem::replace(&mut self.prefixes[at], prefix) {
+            let index = position(&self.order, (before, at));
+            self.order.remove(index);
+        }
+        if let Some(prefix) = prefix {
+            let index = position(&self.order, (prefix, at));
+            self.order.insert(index, (prefix, at));
+        }
+    }
+}
+
+/// Tasks of a victim on an upstream.
+struct VictimTasks {
+    victim: usize,
+    tasks: u64,
+}
+
 /// Returns the victims on each upstream, those that lose the least first. Urgent claims, which would
 /// displace others in turn, come last.
-fn victims_by_upstream(upstreams: usize, victims: &[&VictimUnit]) -> Vec<Vec<usize>> {
+fn victims_by_upstream(upstreams: usize, victims: &[&VictimUnit]) -> Vec<Vec<VictimTasks>> {
     let urgent_rank = claim_rank(0, false);
-    let mut sorted = vec![Vec::new(); upstreams];
+    let mut sorted: Vec<Vec<VictimTasks>> = Vec::new();
+    sorted.resize_with(upstreams, Vec::new);
     let mut order: Vec<usize> = (0..victims.len()).collect();
     order.sort_by_key(|&index| {
         let victim = victims[index];
         (victim.rank <= urgent_rank, victim.lost_work)
     });
-    for index in order {
-        for &upstream in &victims[index].upstreams {
-            if sorted[upstream].last() != Some(&index) {
-                sorted[upstream].push(index);
+    for victim in order {
+        for &upstream in &victims[victim].upstreams {
+            let here = &mut sorted[upstream];
+            match here.last_mut().filter(|row| row.victim == victim) {
+                Some(row) => row.tasks += 1,
+                None => here.push(VictimTasks { victim, tasks: 1 }),
             }
         }
     }
     sorted
 }
 
-/// Returns the racks to which the whole unit may be confined; `None` stands for any upstream.
-fn allowed_racks(demand: &UnitDemand, candidates: &[CandidateUpstream]) -> Vec<Option<ObjectName>> {
-    if let Some(rack) = &demand.data_rack
+/// Returns the groups of upstreams to each of which the whole unit may be confined, as indexes.
+fn allowed_groups(demand: &UnitDemand, candidates: &[CandidateUpstream]) -> Vec<Vec<usize>> {
+    let all = 0..candidates.len();
+    let rack = |index: usize| candidates[index].rack.as_ref();
+    if let Some(data_rack) = &demand.data_rack
         && !demand.any_rack
     {
-        return vec![Some(rack.clone())];
+        return vec![
+            all.filter(|&index| rack(index) == Some(data_rack))
+                .collect(),
+        ];
     }
     if demand.same_rack && demand.count > 1 && !demand.may_span_racks {
-        let mut racks: Vec<Option<ObjectName>> = candidates
-            .iter()
-            .map(|upstream| upstream.rack.clone())
-            .collect();
-        racks.sort_unstable();
-        racks.dedup();
-        racks.retain(Option::is_some);
-        return racks;
+        let mut racked: Vec<usize> = all.filter(|&index| rack(index).is_some()).collect();
+        racked.sort_by_key(|&index| rack(index));
+        let groups = racked.chunk_by(|&left, &right| rack(left) == rack(right));
+        return groups.map(<[usize]>::to_vec).collect();
     }
-    vec![None]
+    vec![all.collect()]
 }
--- a/tests/placement_cost.rs
+++ b/tests/placement_cost.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use hemlockramp::work::clock::HostTime;
+use hemlockramp::work::load::victims::{VictimSearch, VictimUnit};
 use hemlockramp::work::model::amount::ResourceAmount;
 use hemlockramp::work::model::spec::StepSpec;
 use hemlockramp::work::owner::work_counts::WorkKind;
@@ -130,6 +131,8 @@
     }
 }
 
+/// Upstreams of a rack.
+const RACK_SIZE: usize = 20;
 /// Tasks that one round may place, with those of a gang beyond.
 const ROUND_TASKS_MAX: u64 = 512;
 /// Steps that one round may take: its bound, and one search beyond.
@@ -273,3 +276,85 @@
     }
     assert!(placed > 1_000, "{placed}");
 }
+
+/// Cases of `a_search_for_victims_grows_no_faster_than_the_pool`.
+struct VictimsCase {
+    name: &'static str,
+    /// Tasks of the unit that needs room.
+    tasks: usize,
+    /// Racks to each of which the unit may be confined; 0 if it may span racks.
+    racks: usize,
+    /// Tasks of each unit that runs.
+    victim_tasks: usize,
+}
+
+/// Guards against a silent owner: for each of the slots of a wide gang, the slots of all upstreams were
+/// rated anew.
+#[test]
+fn a_search_for_victims_grows_no_faster_than_the_pool() {
+    let cases = [
+        VictimsCase {
+            name: "a single task among single tasks",
+            tasks: 1,
+            racks: 0,
+            victim_tasks: 1,
+        },
+        VictimsCase {
+            name: "a wide gang among single tasks",
+            tasks: 416,
+            racks: 0,
+            victim_tasks: 1,
+        },
+        VictimsCase {
+            name: "a wide gang among wide gangs",
+            tasks: 416,
+            racks: 0,
+            victim_tasks: 200,
+        },
+        VictimsCase {
+            name: "a gang that needs one rack",
+            tasks: 64,
+            racks: MANY_UPSTREAMS.div_ceil(RACK_SIZE),
+            victim_tasks: 1,
+        },
+    ];
+    for case in cases {
+        let mut candidates = mixed_candidates(&mut ChaCha8Rng::seed_from_u64(SEED), MANY_UPSTREAMS);
+        for (index, one) in candidates.iter_mut().enumerate() {
+            one.rack = Some(name(&format!("r{}", index / RACK_SIZE)));
+            one.free = ResourceAmount::default();
+            one.reserved = None;
+        }
+        let slots = (0..8).flat_map(|_| 0..MANY_UPSTREAMS).collect::<Vec<_>>();
+        let victims: Vec<VictimUnit> = slots
+            .chunks(case.victim_tasks)
+            .enumerate()
+            .map(|(index, upstreams)| VictimUnit {
+                upstreams: upstreams.to_vec(),
+                need: amount(1),
+                lost_work: (index as u64 * 7_919) % 10_007,
+                rank: 4,
+            })
+            .collect();
+        let demand = UnitDemand {
+            count: case.tasks,
+            need: amount(1),
+            any_rack: true,
+            same_rack: case.racks > 0,
+            ..UnitDemand::default()
+        };
+        let victims: Vec<&VictimUnit> = victims.iter().collect();
+        let claim = claim(0);
+        let search = VictimSearch::new(&demand, &claim, &candidates, &victims);
+        assert!(search.choose().is_some(), "{}", case.name);
+        // Each upstream is looked at with its eight slots, and again when a victim there is taken.
+        let taken = case.tasks * case.racks.max(1) * case.victim_tasks.min(8);
+        let looks = MANY_UPSTREAMS + 2 * taken;
+        assert!(
+            search.steps() <= 20 * looks,
+            "{}: {}",
+            case.name,
+            search.steps()
+        );
+    }
+}
