--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -14,7 +14,9 @@
 pub mod job_state;
 mod loss_proof;
 mod placed_speed;
+mod placement_pass;
 mod placement_pool;
+mod placement_round;
 pub mod planning;
 mod preemption;
 mod put_off;
@@ -29,6 +31,7 @@
 mod speeds;
 pub mod start_gate;
 pub mod step_bias;
+mod step_search;
 pub mod task_rows;
 mod team_usage;
 mod timing;
@@ -53,6 +56,7 @@
 use crate::work::owner::failure_ledger::FailureLedger;
 use crate::work::owner::job_state::JobState;
 use crate::work::owner::loss_proof::LossProof;
+use crate::work::owner::placement_pass::PlacementPass;
 use crate::work::owner::unit_state::{MemberPhase, UnitPhase};
 use crate::work::owner::upstream_state::{LEASE_EXPIRY_MARGIN_MS, UpstreamState};
 use crate::work::owner::work_counts::WorkCounts;
@@ -104,6 +108,7 @@
     /// When the answer or report in hand arrived, steady ms; earlier than `now` if it had to wait.
     arrived_ms: u64,
     placement_due: bool,
+    placement_pass: PlacementPass,
     /// Time of the last placement round, steady ms.
     last_placement_ms: u64,
     /// Time of the next scan of all members for unanswered orders, steady ms.
@@ -145,6 +150,7 @@
             now,
             arrived_ms: now.steady_ms,
             placement_due: true,
+            placement_pass: PlacementPass::default(),
             last_placement_ms: 0,
             next_order_scan_ms: 0,
             next_departure_ms: 0,
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -1,62 +1,24 @@
-//! Placement rounds over all waiting units.
+//! What a waiting unit asks for, and its placement.
 
 use crate::tables::name::ObjectName;
 use crate::work::load::queue_order::WaitingUnit;
-use crate::work::model::amount::ResourceAmount;
 use crate::work::model::config::QueueRule;
 use crate::work::owner::PoolOwner;
 use crate::work::owner::placed_speed::PlacedSpeed;
 use crate::work::owner::placement_pool::PlacementPool;
-use crate::work::owner::preemption::BlockedUnit;
 use crate::work::owner::unit_state::{MemberPhase, MemberState, UnitPhase};
 use crate::work::owner::upstream_state::HeldTask;
-use crate::work::owner::waiting::WaitingStep;
 use crate::work::owner::work_counts::WorkKind;
 use crate::work::placing::locality_wait::LocalityWait;
-use crate::work::placing::placement::{
-    CandidateUpstream, CapacityClaim, Isolation, UnitDemand, claim_rank, fits_in_one_rack,
-    place_unit,
-};
+use crate::work::placing::placement::{CandidateUpstream, Isolation, UnitDemand, fits_in_one_rack};
+use crate::work::placing::sibling_counts::SiblingCounts;
 use crate::work::placing::slowdown::{SlowdownLimit, SpeedPreference};
 
-/// Guaranteed units for which one round searches capacity separately.
-const GUARANTEED_UNITS_MAX: usize = 6;
 /// Time to record, order and begin a run and to see its end, in ms.
 const RUN_START_MS: i64 = 300;
 /// Upstreams with a failed run that a unit avoids; only the newest count.
 const AVOIDED_UPSTREAMS_MAX: usize = 6;
 
-/// State that is carried through one placement round.
-struct PlacementRound {
-    pools: Vec<PlacementPool>,
-    /// Demands that could not be placed in this round; an equal demand fails too.
-    unplaceable: Vec<UnitDemand>,
-    /// Units other than urgent ones with a reservation.
-    reserved: usize,
-    /// Guaranteed units for which capacity was searched.
-    guaranteed: usize,
-}
-
-impl PlacementRound {
-    /// Whether a demand fits does not depend on its preferred speed.
-    fn note_unplaceable(&mut self, mut demand: UnitDemand) {
-        demand.speed = SpeedPreference::default();
-        self.unplaceable.push(demand);
-    }
-
-    fn is_unplaceable(&self, demand: &UnitDemand) -> bool {
-        if self.unplaceable.is_empty() {
-            return false;
-        }
-        let speed = SpeedPreference::default();
-        let wanted = UnitDemand {
-            speed,
-            ..demand.clone()
-        };
-        self.unplaceable.contains(&wanted)
-    }
-}
-
 impl PoolOwner {
     /// Returns the newest known rule of a job's queue: the current one, or the one at submission if
     /// the queue is gone or the job was admitted by a newer configuration than this host's.
@@ -68,37 +30,11 @@
         self.config.rule(&record.queue).unwrap_or(&record.rule)
     }
 
-    /// Places waiting units in queue order, and reserves or preempts capacity for those that do not
-    /// fit.
-    pub(super) fn place_waiting_units(&mut self) {
-        let teams = self.team_usage();
-        let mut waiting_steps = self.waiting_steps(&teams);
-        metrics::gauge!("hemlockramp_steps_waiting").set(waiting_steps.len() as f64);
-        metrics::gauge!("hemlockramp_jobs_open").set(self.jobs.len() as f64);
-        waiting_steps.sort_by_key(|waiting_step| (waiting_step.key, waiting_step.job));
-        let mut round = PlacementRound {
-            pools: Vec::new(),
-            unplaceable: Vec::new(),
-            reserved: 0,
-            guaranteed: 0,
-        };
-        for waiting_step in &waiting_steps {
-            self.place_step(waiting_step, &mut round);
-        }
-    }
-
+    /// Returns the schedulable upstreams of a pool.
     pub(super) fn placement_pool(&self, pool: &ObjectName) -> PlacementPool {
         self.counts.add(WorkKind::SearchStep, self.upstreams.len());
         let now_ms = self.now.steady_ms;
-        let mut result = PlacementPool {
-            name: pool.clone(),
-            candidates: Vec::new(),
-            upstream_indexes: Vec::new(),
-            excluded: Vec::new(),
-            capacity: ResourceAmount::default(),
-            free: ResourceAmount::default(),
-            urgent: self.urgent_usage(pool),
-        };
+        let mut result = PlacementPool::new(pool.clone(), self.urgent_usage(pool));
         for (index, upstream) in self.upstreams.iter().enumerate() {
             let Some(report) = &upstream.report else {
                 continue;
@@ -127,6 +63,7 @@
         result
     }
 
+    /// Returns what a unit asks for now, without the placed tasks of its step.
     pub(super) fn demand(
         &self,
         job: usize,
@@ -160,15 +97,15 @@
             same_rack: step.same_rack,
             may_span_racks: !waits_for_locality,
             spread_max: step.spread_max as usize,
-            siblings: Vec::new(),
+            siblings: SiblingCounts::default(),
             avoided_upstreams: failed_on.take(AVOIDED_UPSTREAMS_MAX).cloned().collect(),
             speed: self.speed_preference(job, unit, waiting),
             isolation: self.isolation(job, unit, waited_ms),
         };
-        if step.spread_max > 0 {
-            demand.siblings = self.siblings(job, unit);
+        if demand.same_rack && !demand.may_span_racks {
+            self.counts.add(WorkKind::SearchStep, pool.candidates.len());
+            demand.may_span_racks = !fits_in_one_rack(&demand, &pool.candidates);
         }
-        demand.may_span_racks |= demand.same_rack && !fits_in_one_rack(&demand, &pool.candidates);
         demand
     }
 
@@ -200,97 +137,30 @@
         SlowdownLimit::new((stretch * 1_000.0) as i64, 1_000)
     }
 
-    /// Returns the upstreams of the placed tasks of the unit's step and round, one entry a task.
-    fn siblings(&self, job: usize, unit: usize) -> Vec<ObjectName> {
+    /// Returns the placed tasks of a unit's step and round, if their number on an upstream is
+    /// limited.
+    pub(super) fn siblings(&self, job: usize, unit: usize) -> SiblingCounts {
         let state = &self.jobs[job];
-        let own = state.shapes[unit];
-        let same = |index: &usize| {
-            state.shapes[*index].step == own.step && state.shapes[*index].round == own.round
-        };
-        (0..state.units.len())
-            .filter(same)
-            .flat_map(|index| state.units[index].members.iter())
+        if state.step(unit).spread_max == 0 {
+            return SiblingCounts::default();
+        }
+        let own = (state.shapes[unit].round, state.shapes[unit].step);
+        let first = state
+            .shapes
+            .partition_point(|one| (one.round, one.step) < own);
+        let after = state
+            .shapes
+            .partition_point(|one| (one.round, one.step) <= own);
+        self.counts.add(WorkKind::SearchStep, after - first);
+        state.units[first..after]
+            .iter()
+            .flat_map(|unit| &unit.members)
             .filter_map(|member| member.upstream.clone())
             .collect()
     }
 
-    fn place_step(&mut self, waiting_step: &WaitingStep, round: &mut PlacementRound) {
-        let job = waiting_step.job;
-        let priority = waiting_step.waiting.priority;
-        let name = self.rule(job).pool.clone();
-        let index = match round.pools.iter().position(|pool| pool.name == name) {
-            Some(index) => index,
-            None => {
-                round.pools.push(self.placement_pool(&name));
-                round.pools.len() - 1
-            }
-        };
-        for &unit in &waiting_step.units {
-            let pool = &round.pools[index];
-            let demand = self.demand(job, unit, &waiting_step.waiting, pool);
-            // Each guaranteed unit gets a reservation of its own, even if its demand equals
-            // another's.
-            let own_search =
-                waiting_step.waiting.guaranteed && round.guaranteed < GUARANTEED_UNITS_MAX;
-            let isolated = demand.isolation == Isolation::Required;
-            if !own_search && round.is_unplaceable(&demand) {
-                if isolated {
-                    continue;
-                }
-                return;
-            }
-            let pool = &mut round.pools[index];
-            let claim = CapacityClaim {
-                job: self.jobs[job].id.clone(),
-                unit,
-                rank: claim_rank(priority, waiting_step.waiting.guaranteed),
-            };
-            if pool.needs_excluded(priority, &demand, &claim) {
-                *pool = pool.with_excluded();
-            }
-            self.count_search(&demand, pool.excluded.len() + pool.candidates.len());
-            if !pool.leaves_headroom(priority, &demand) {
-                self.log_wait(job, unit, "headroom for urgent work", pool);
-                return;
-            }
-            let chosen = place_unit(&demand, &claim, &pool.candidates);
-            if chosen.is_none() && isolated {
-                // Other units of the step may share upstreams, and so may this one before long.
-                self.log_wait(job, unit, "no upstream of its own", pool);
-                round.note_unplaceable(demand);
-                continue;
-            }
-            let Some(chosen) = chosen else {
-                let blocked = BlockedUnit {
-                    waiting: &waiting_step.waiting,
-                    demand: &demand,
-                    claim,
-                    outlook: self.unit_outlook(
-                        job,
-                        unit,
-                        self.jobs[job].record.spec.critical_path_ms(),
-                    ),
-                    estimate_ms: self.jobs[job].step(unit).estimate_ms,
-                };
-                round.guaranteed += usize::from(own_search);
-                self.log_wait(job, unit, "not enough free capacity", pool);
-                self.reserve_or_preempt(&blocked, pool, &mut round.reserved);
-                round.note_unplaceable(demand);
-                return;
-            };
-            self.assign(job, unit, pool, &chosen, &demand);
-        }
-    }
-
-    /// Counts a search of room for a unit. Each placed sibling is compared with each candidate.
-    pub(super) fn count_search(&self, demand: &UnitDemand, candidates: usize) {
-        let siblings = demand.siblings.len();
-        self.counts
-            .add(WorkKind::SearchStep, candidates * (1 + siblings));
-    }
-
     /// Logs why a unit waits, once for each wait.
-    fn log_wait(&mut self, job: usize, unit: usize, reason: &str, pool: &PlacementPool) {
+    pub(super) fn log_wait(&mut self, job: usize, unit: usize, reason: &str, pool: &PlacementPool) {
         let state = &mut self.jobs[job];
         if std::mem::replace(&mut state.units[unit].wait_logged, true) {
             return;
@@ -303,7 +173,8 @@
         );
     }
 
-    fn assign(
+    /// Places a unit on the chosen candidates.
+    pub(super) fn assign(
         &mut self,
         job: usize,
         unit: usize,
@@ -359,13 +230,8 @@
 
     /// Releases the capacity reserved for a unit.
     fn release_reservation(&mut self, job: &ObjectName, unit: usize, pool: &mut PlacementPool) {
-        self.counts.add(WorkKind::SearchStep, pool.candidates.len());
-        for (candidate, &index) in pool.candidates.iter_mut().zip(&pool.upstream_indexes) {
-            let reservation = candidate.reserved.as_ref();
-            if reservation.is_some_and(|claim| claim.job == *job && claim.unit == unit) {
-                candidate.reserved = None;
-                self.upstreams[index].reserved = None;
-            }
+        for index in pool.release(job, unit) {
+            self.upstreams[pool.upstream_indexes[index]].reserved = None;
         }
     }
 }
