Find failures by step and by upstream, a bounded number for each end

Callers on a pool of 1,100 upstreams saw LOST and SHORT while the pool changed hands under a living owner.

Cause: after the first failed run, each end of any run computed the failure score of all upstreams from all rows of the ledger, and rows left only when a further run failed. Some 300 ends a second filled the owner's thread, and its heartbeats waited.

Change: the ledger keeps failures by step and by upstream.

--- a/src/work/owner/ends.rs
+++ b/src/work/owner/ends.rs
@@ -6,8 +6,8 @@
 use crate::work::model::record::JobPhase;
 use crate::work::model::upstream::{EndKind, EndedTask};
 use crate::work::owner::PoolOwner;
-use crate::work::owner::failure_ledger::EXCLUSION_SCORE;
 use crate::work::owner::renewals::UNRECORDED_RENEW_PAUSE_MS;
+use crate::work::owner::step_failures::StepRef;
 use crate::work::owner::unit_state::UnitPhase;
 use crate::work::owner::work_counts::WorkKind;
 
@@ -109,9 +109,9 @@
 
     fn on_done(&mut self, job: usize, unit: usize, name: &ObjectName) {
         if !self.failures.is_empty() {
-            let step = self.jobs[job].shapes[unit].step;
-            self.failures.add_success(&self.jobs[job].id, step, name);
-            self.score_failures();
+            let key = self.step_ref(job, unit);
+            self.failures.add_success(&key, name);
+            self.apply_blame();
         }
         self.complete_unit(job, unit);
     }
@@ -124,25 +124,35 @@
         self.placement_due = true;
     }
 
-    /// Brings the failure scores of all upstreams up to date. An upstream that turns out not to be to
-    /// blame is no longer excluded.
-    fn score_failures(&mut self) {
-        let rows = self.upstreams.len() * self.failures.len();
-        self.counts.add(WorkKind::BlameStep, rows);
-        for upstream in &mut self.upstreams {
-            upstream.failure_score = self.failures.score(&upstream.name);
-            if upstream.failure_score < EXCLUSION_SCORE {
-                upstream.excluded_until_ms = 0;
+    /// Brings the failure scores up to date where evidence has changed. An upstream that turns out not
+    /// to be to blame is no longer excluded.
+    pub(super) fn apply_blame(&mut self) {
+        if self.failures.is_empty() {
+            return;
+        }
+        for name in self.failures.take_changes(self.now.steady_ms) {
+            let score = self.failures.score(&name);
+            if let Some(index) = self.upstream_index(&name) {
+                self.upstreams[index].set_failure_score(score);
             }
         }
+        let rows = self.failures.take_rows_read();
+        self.counts.add(WorkKind::BlameStep, rows);
+    }
+
+    fn step_ref(&self, job: usize, unit: usize) -> StepRef {
+        let state = &self.jobs[job];
+        StepRef {
+            job: state.id.clone(),
+            step: state.shapes[unit].step,
+        }
     }
 
     fn on_failed(&mut self, job: usize, unit: usize, name: &ObjectName) {
         let now_ms = self.now.steady_ms;
-        let step = self.jobs[job].shapes[unit].step;
-        self.failures
-            .add_failure(&self.jobs[job].id, step, name, now_ms);
-        self.score_failures();
+        let key = self.step_ref(job, unit);
+        self.failures.add_failure(&key, name, now_ms);
+        self.apply_blame();
         if let Some(index) = self.upstream_index(name) {
             self.upstreams[index].exclude_if_failing(now_ms + EXCLUSION_MS);
         }
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -28,10 +28,12 @@
 mod speeds;
 pub mod start_gate;
 pub mod step_bias;
+pub mod step_failures;
 pub mod task_rows;
 mod team_usage;
 mod timing;
 pub mod unit_state;
+pub mod upstream_failures;
 pub mod upstream_state;
 mod waiting;
 pub mod work_counts;
@@ -310,6 +312,7 @@
         self.now = now;
         self.expire_silent_leases();
         self.leave_departing();
+        self.apply_blame();
         let passed_ms = now.steady_ms.saturating_sub(self.last_placement_ms);
         self.keep_speeds();
         if passed_ms >= PLACEMENT_INTERVAL_MAX_MS
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -167,6 +167,14 @@
         start_verdict(StartStage::Placement, &conditions) == StartVerdict::Pass
     }
 
+    /// Sets the failures for which it is to blame. If they are too few, it is no longer excluded.
+    pub fn set_failure_score(&mut self, score: f64) {
+        self.failure_score = score;
+        if score < EXCLUSION_SCORE {
+            self.excluded_until_ms = 0;
+        }
+    }
+
     /// Excludes it until then if its failed runs speak against it.
     pub fn exclude_if_failing(&mut self, until_ms: u64) {
         if self.failure_score < EXCLUSION_SCORE {
