Count the owner's silence from its heartbeat on

What callers saw: on the large site the pool changed hands although its owner was alive and at work, and each change cost seconds of placement (LOST, SHORT).

Cause: a read that brings a heartbeat is applied first, which sets the silence to zero; then the answer to the same read is recorded, and the time since the answer before is added to the silence. So each heartbeat left a silence as long as the time before it. An owner whose heartbeats came after 780 ms and then after a second was replaced, with a limit of 1,400 ms.

The heartbeat now also begins the interval that the next answer ends. The test (tests/election.rs) reads a stream as a follower does, in virtual time; it failed before with a claim at 1,600 ms.

--- a/src/work/state/election.rs
+++ b/src/work/state/election.rs
@@ -57,9 +57,11 @@
         }
     }
 
-    /// Records a heartbeat of the owner.
+    /// Records a heartbeat of the owner. The time before it is no silence, whenever the store's
+    /// answer to the read that brought it is recorded.
     pub fn record_owner_heartbeat(&mut self, now_ms: u64) {
         self.silence_ms = 0;
+        self.answered_ms = self.answered_ms.map(|_| now_ms);
         self.heartbeat_ms = Some(now_ms);
     }
 
--- /dev/null
+++ b/tests/election.rs
@@ -0,0 +1,161 @@
+//! Tests of the election in virtual time: hosts that read the jobs stream from a store, poll their
+//! timers and ask the owner.
+
+use std::ops::RangeInclusive;
+
+use hemlockramp::tables::name::ObjectName;
+use hemlockramp::work::model::record::OwnerRecord;
+use hemlockramp::work::state::election::ElectionTimer;
+use hemlockramp::work::state::jobs_view::OwnerRow;
+
+/// Step of the virtual time, in ms.
+const STEP_MS: u64 = 10;
+/// Time for which hosts are observed, in ms.
+const OBSERVED_MS: u64 = 8_000;
+/// Time for which the store holds a read open, in ms.
+const READ_WAIT_MS: u64 = 600;
+/// Pause of a follower after a read with records, in ms.
+const READ_PAUSE_MS: u64 = 200;
+/// Interval at which a host polls its timer, in ms.
+const POLL_MS: u64 = 50;
+/// Time between an owner's heartbeats, in ms.
+const HEARTBEAT_MS: u64 = 450;
+
+fn name(text: &str) -> ObjectName {
+    ObjectName::try_from(text).expect("a valid name")
+}
+
+fn owner() -> OwnerRow {
+    let record = OwnerRecord {
+        host: name("owner"),
+        term: 65_536,
+        released: false,
+    };
+    OwnerRow { record, offset: 0 }
+}
+
+/// What happens to an owner and to the host that watches it.
+struct Scene {
+    /// Times at which the owner's heartbeats reach the store, in ms.
+    heartbeats_ms: Vec<u64>,
+}
+
+/// A host that watches the owner.
+struct WatchingHost {
+    timer: ElectionTimer,
+    /// When the follower's open read was sent, or is sent next.
+    asked_ms: u64,
+    /// Number of heartbeats that it has read.
+    read: usize,
+    /// Part of the polling interval by which this host's polls are shifted, in ms.
+    phase_ms: u64,
+}
+
+impl WatchingHost {
+    fn new(host: &str, rank: f64, phase_ms: u64) -> Self {
+        let mut timer = ElectionTimer::new(name(host), rank);
+        timer.record_store_answer(0);
+        timer.record_ready(0);
+        Self {
+            timer,
+            asked_ms: 0,
+            read: 0,
+            phase_ms,
+        }
+    }
+
+    /// Returns when the host claims the pool, if it does.
+    fn claim_ms(mut self, scene: &Scene) -> Option<u64> {
+        let mut times = (0..OBSERVED_MS).step_by(STEP_MS as usize);
+        times.find(|now_ms| self.claims(*now_ms, scene))
+    }
+
+    fn claims(&mut self, now_ms: u64, scene: &Scene) -> bool {
+        self.follow(now_ms, scene);
+        if now_ms % POLL_MS != self.phase_ms {
+            return false;
+        }
+        self.timer.should_claim(Some(&owner()), now_ms, 0)
+    }
+
+    /// Reads the stream as a follower does.
+    fn follow(&mut self, now_ms: u64, scene: &Scene) {
+        if now_ms < self.asked_ms {
+            return;
+        }
+        let unread = &scene.heartbeats_ms[self.read..];
+        let count = unread.iter().filter(|at| **at <= now_ms).count();
+        self.read += count;
+        if count > 0 {
+            self.timer.record_owner_heartbeat(now_ms);
+        }
+        if count > 0 || now_ms >= self.asked_ms + READ_WAIT_MS {
+            self.timer.record_store_answer(now_ms);
+            let pause_ms = if count > 0 { READ_PAUSE_MS } else { 0 };
+            self.asked_ms = now_ms + pause_ms;
+        }
+    }
+}
+
+/// Heartbeats each `interval_ms` up to `until_ms`.
+fn heartbeats(interval_ms: u64, until_ms: u64) -> Vec<u64> {
+    (0..=until_ms).step_by(interval_ms as usize).collect()
+}
+
+struct SilenceCase {
+    name: &'static str,
+    scene: Scene,
+    /// When the first host claims, in ms; none if it must not.
+    claims_ms: Option<RangeInclusive<u64>>,
+}
+
+/// Guards against false changes of the owner: one that was alive and at work was replaced because its
+/// heartbeats came late, and each change costs the pool seconds of placement.
+#[test]
+fn owner_with_late_heartbeats_keeps_the_pool_and_a_lost_one_is_replaced() {
+    // The last heartbeat comes at 1,800 ms.
+    let last = || heartbeats(HEARTBEAT_MS, 2_000);
+    let cases = [
+        SilenceCase {
+            name: "heartbeats in time",
+            scene: Scene {
+                heartbeats_ms: heartbeats(HEARTBEAT_MS, OBSERVED_MS),
+            },
+            claims_ms: None,
+        },
+        SilenceCase {
+            name: "heartbeats come each 1,100 ms",
+            scene: Scene {
+                heartbeats_ms: heartbeats(1_100, OBSERVED_MS),
+            },
+            claims_ms: None,
+        },
+        SilenceCase {
+            name: "heartbeats come after 780 and 1,010 ms in turn",
+            scene: Scene {
+                heartbeats_ms: (0..10)
+                    .flat_map(|turn| [turn * 1_790, turn * 1_790 + 780])
+                    .collect(),
+            },
+            claims_ms: None,
+        },
+        SilenceCase {
+            name: "killed",
+            scene: Scene {
+                heartbeats_ms: last(),
+            },
+            claims_ms: Some(3_200..=3_500),
+        },
+    ];
+    for case in cases {
+        let claimed_ms = WatchingHost::new("host", 0.0, 0).claim_ms(&case.scene);
+        match case.claims_ms {
+            None => assert_eq!(claimed_ms, None, "{}", case.name),
+            Some(range) => assert!(
+                claimed_ms.is_some_and(|at_ms| range.contains(&at_ms)),
+                "{}: claimed at {claimed_ms:?}, expected within {range:?}",
+                case.name
+            ),
+        }
+    }
+}
