Keep hosts from claiming the pool in the same instant

Of the hosts that took the owner for lost, some six claimed within 10 ms of each other, so that the stagger by rank did not show who is first, and most of them stopped and read the store for nothing.

Cause: silence grew only with the store's answers. A read without news is held open for 600 ms on all hosts alike, so a stagger of up to 600 ms was over for all of them at the same answer. Besides, hosts of one size shared sixteen ranks, made of the sum of their names' bytes.

A claim reads the stream once more and its append names the stream's end, as before.

--- a/src/work/state/election.rs
+++ b/src/work/state/election.rs
@@ -1,17 +1,20 @@
 //! Owner election: when a host claims the pool, and when an owner steps down.
 //!
 //! The owner can crash or be partitioned while tasks hold short leases, which must be renewed
-//! before they expire; a slow store must not cost an owner its term. Hosts also differ in size, and
-//! a small one is too slow for the whole pool under load.
+//! before they expire; neither a slow store nor a busy thread must cost an owner its term. Hosts
+//! also differ in size, and a small one is too slow for the whole pool under load.
 
 use crate::tables::name::ObjectName;
 use crate::work::state::jobs_view::{HostRow, OwnerRow};
+use crate::work::store::timing::READ_WAIT_MS;
 
 /// Time without a heartbeat, counted while the store answers, after which other hosts may claim the
 /// pool, in ms.
 const OWNER_TIMEOUT_MS: u64 = 1_400;
 /// Longest additional wait by rank, which keeps hosts from claiming at once, in ms.
 const CLAIM_STAGGER_MS: u64 = 600;
+/// Longest additional wait by name and term, which separates hosts of one rank, in ms.
+const CLAIM_SPREAD_MS: u64 = 100;
 /// Longest wait by rank for a vacant pool, in ms; it covers hosts that start later.
 const VACANT_STAGGER_MS: u64 = 1_000;
 /// Longest time between two answers of the store that counts as available, in ms.
@@ -36,6 +39,7 @@
     host: ObjectName,
     /// This host's position in the order of claiming, 0 to 1.
     rank: f64,
+    /// Silence up to the store's last answer.
     silence_ms: u64,
     answered_ms: Option<u64>,
     /// Time of the owner's last heartbeat, or of the store's first answer.
@@ -67,11 +71,9 @@
 
     /// Records an answer of the store. Only time between answers counts as silence of the owner.
     pub fn record_store_answer(&mut self, now_ms: u64) {
-        let passed = self
-            .answered_ms
-            .map_or(0, |before| now_ms.saturating_sub(before));
-        if passed <= STORE_ANSWER_GAP_MAX_MS {
-            self.silence_ms += passed;
+        let passed_ms = self.since_answer_ms(now_ms);
+        if passed_ms <= STORE_ANSWER_GAP_MAX_MS {
+            self.silence_ms += passed_ms;
         }
         self.answered_ms = Some(now_ms);
         self.heartbeat_ms.get_or_insert(now_ms);
@@ -93,14 +95,10 @@
         let Some(heartbeat_ms) = self.heartbeat_ms else {
             return false;
         };
-        let vacant = owner.is_none_or(|row| row.record.released || row.record.host == self.host);
         let since_ms = heartbeat_ms.max(self.ready_ms.unwrap_or(heartbeat_ms));
-        match vacant {
-            true => now_ms.saturating_sub(since_ms) >= self.stagger_ms(VACANT_STAGGER_MS),
-            false => {
-                let limit_ms = OWNER_TIMEOUT_MS + allowance_ms;
-                self.silence_ms >= limit_ms + self.stagger_ms(CLAIM_STAGGER_MS + allowance_ms)
-            }
+        match owner.filter(|row| !self.is_vacant(row)) {
+            None => now_ms.saturating_sub(since_ms) >= self.stagger_ms(VACANT_STAGGER_MS),
+            Some(row) => self.silence_at(now_ms) >= self.claim_silence_ms(row, allowance_ms),
         }
     }
 
@@ -108,17 +106,52 @@
     pub fn evidence(&self, now_ms: u64) -> ClaimEvidence {
         let age = |at_ms: Option<u64>| at_ms.map(|at| now_ms.saturating_sub(at));
         ClaimEvidence {
-            silence_ms: self.silence_ms,
+            silence_ms: self.silence_at(now_ms),
             heartbeat_age_ms: age(self.heartbeat_ms),
             answer_age_ms: age(self.answered_ms),
         }
     }
 
+    fn is_vacant(&self, owner: &OwnerRow) -> bool {
+        owner.record.released || owner.record.host == self.host
+    }
+
+    fn since_answer_ms(&self, now_ms: u64) -> u64 {
+        self.answered_ms
+            .map_or(0, |before| now_ms.saturating_sub(before))
+    }
+
+    /// Returns the silence at this time. A read that the store may still hold open counts as well:
+    /// answers come at the same time on all hosts, which would then claim at the same time.
+    fn silence_at(&self, now_ms: u64) -> u64 {
+        let open_ms = self.since_answer_ms(now_ms).min(READ_WAIT_MS);
+        self.silence_ms + open_ms
+    }
+
+    /// Returns the silence of an owner after which this host claims.
+    fn claim_silence_ms(&self, owner: &OwnerRow, allowance_ms: u64) -> u64 {
+        OWNER_TIMEOUT_MS + allowance_ms + self.wait_ms(owner, allowance_ms)
+    }
+
+    /// Returns how much longer than the first one this host waits before it claims.
+    fn wait_ms(&self, owner: &OwnerRow, allowance_ms: u64) -> u64 {
+        let spread_ms = host_hash(&self.host, owner.record.term) % CLAIM_SPREAD_MS;
+        self.stagger_ms(CLAIM_STAGGER_MS + allowance_ms) + spread_ms
+    }
+
     fn stagger_ms(&self, longest_ms: u64) -> u64 {
         (self.rank * longest_ms as f64) as u64
     }
 }
 
+/// Returns a number that is spread evenly over hosts and terms (FNV-1a).
+pub fn host_hash(host: &ObjectName, term: u64) -> u64 {
+    let bytes = host.as_str().bytes().chain(term.to_be_bytes());
+    bytes.fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
+}
+
 /// Returns whether an owner on a small host should step down: a large host has announced itself
 /// since the owner's term began at offset `term_start`.
 pub fn should_step_down(own_large: bool, hosts: &[HostRow], term_start: u64) -> bool {
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -20,6 +20,12 @@
 const POLL_MS: u64 = 50;
 /// Time between an owner's heartbeats, in ms.
 const HEARTBEAT_MS: u64 = 450;
+/// Time that a host takes for its last read and its claim, in ms.
+const ROUND_TRIP_MS: u64 = 20;
+/// Hosts of the largest site beside its owner.
+const HOSTS: usize = 146;
+/// Hosts that may claim within one round trip to the store.
+const CLAIMS_AT_ONCE_MAX: usize = 5;
 
 fn name(text: &str) -> ObjectName {
     ObjectName::try_from(text).expect("a valid name")
@@ -159,3 +165,29 @@
         }
     }
 }
+
+/// Guards against hosts that claim in the same instant: the store answers the reads of all hosts at
+/// the same time, so that a stagger shorter than a held read did not separate them.
+#[test]
+fn many_hosts_do_not_claim_at_once_when_the_owner_is_killed() {
+    let scene = Scene {
+        heartbeats_ms: heartbeats(HEARTBEAT_MS, 2_000),
+    };
+    // Distinct ranks of large hosts, without the very first one.
+    let rank = |index: usize| (1 + index) as f64 / (1 + HOSTS) as f64 * 0.4;
+    let claim_ms = |index: usize| {
+        let phase_ms = (index as u64 * STEP_MS) % POLL_MS;
+        let host = WatchingHost::new(&format!("host-{index}"), rank(index), phase_ms);
+        host.claim_ms(&scene).expect("a claim")
+    };
+    let mut claims: Vec<u64> = (0..HOSTS).map(claim_ms).collect();
+    claims.sort_unstable();
+    let at_once = claims
+        .iter()
+        .filter(|at| **at < claims[0] + ROUND_TRIP_MS)
+        .count();
+    assert!(
+        at_once <= CLAIMS_AT_ONCE_MAX,
+        "{at_once} hosts claim at once: {claims:?}"
+    );
+}
