Don't take a host's own pause for silence of the owner

A host that has little processor time, or was paused, read the owner's heartbeats late and claimed the pool.

Cause: the timer counted all time between two answers of the store of up to 1,200 ms, whether or not this host ran meanwhile, and whether or not the store held the read open for so long.

The host polls its timer each 50 ms. Time beyond 250 ms between two polls, or between a poll and an answer, is now taken off the silence: the host did not run. Of the time between two answers, at most a held read with the pause before it (800 ms) counts.

--- a/src/work/owner_loop/mod.rs
+++ b/src/work/owner_loop/mod.rs
@@ -71,11 +71,12 @@
 
 /// Returns whether this host should claim the pool now.
 fn should_claim<S: StorePort, O, R>(context: &HostContext<S, O, R>) -> bool {
+    let now_ms = steady_ms();
+    let mut election = context.election.borrow_mut();
+    election.record_poll(now_ms);
     if !context.is_ready() {
         return false;
     }
-    let now_ms = steady_ms();
-    let mut election = context.election.borrow_mut();
     election.record_ready(now_ms);
     let allowance_ms = context.store.health(StreamName::Jobs).allowance_ms();
     let jobs_view = context.jobs_view.borrow();
--- a/src/work/state/election.rs
+++ b/src/work/state/election.rs
@@ -19,13 +19,19 @@
 const VACANT_STAGGER_MS: u64 = 1_000;
 /// Longest time between two answers of the store that counts as available, in ms.
 const STORE_ANSWER_GAP_MAX_MS: u64 = 1_200;
+/// Longest time between two answers that counts as silence of the owner, in ms. What is longer than
+/// a held read and the pause before it is the store's delay.
+const SILENT_GAP_MAX_MS: u64 = READ_WAIT_MS + 200;
+/// Longest time between two polls of this host's own timer, in ms. In what is longer this host did
+/// not run, so that it would have read no heartbeat.
+const POLL_GAP_MAX_MS: u64 = 250;
 /// Low bits of a term that distinguish rivals for it.
 const TERM_NONCE_BITS: u32 = 16;
 
 /// What a host knows of the pool's owner when it claims the pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClaimEvidence {
-    /// Time without a heartbeat, counted while the store answers, in ms.
+    /// Time without a heartbeat, counted while the store answers and this host runs, in ms.
     pub silence_ms: u64,
     /// Time since the owner's last heartbeat was read, in ms; none before the first answer.
     pub heartbeat_age_ms: Option<u64>,
@@ -46,6 +52,10 @@
     heartbeat_ms: Option<u64>,
     /// When this host was first able to own the pool.
     ready_ms: Option<u64>,
+    /// When this host last polled the timer or handled an answer, once it polls.
+    polled_ms: Option<u64>,
+    /// Time since the store's last answer in which this host did not run.
+    stopped_ms: u64,
 }
 
 impl ElectionTimer {
@@ -58,23 +68,30 @@
             answered_ms: None,
             heartbeat_ms: None,
             ready_ms: None,
+            polled_ms: None,
+            stopped_ms: 0,
         }
     }
 
     /// Records a heartbeat of the owner. The time before it is no silence, whenever the store's
     /// answer to the read that brought it is recorded.
     pub fn record_owner_heartbeat(&mut self, now_ms: u64) {
+        self.note_stop(now_ms);
         self.silence_ms = 0;
+        self.stopped_ms = 0;
         self.answered_ms = self.answered_ms.map(|_| now_ms);
         self.heartbeat_ms = Some(now_ms);
     }
 
     /// Records an answer of the store. Only time between answers counts as silence of the owner.
     pub fn record_store_answer(&mut self, now_ms: u64) {
+        self.note_stop(now_ms);
         let passed_ms = self.since_answer_ms(now_ms);
+        let running_ms = passed_ms.saturating_sub(self.stopped_ms);
         if passed_ms <= STORE_ANSWER_GAP_MAX_MS {
-            self.silence_ms += passed_ms;
+            self.silence_ms += running_ms.min(SILENT_GAP_MAX_MS);
         }
+        self.stopped_ms = 0;
         self.answered_ms = Some(now_ms);
         self.heartbeat_ms.get_or_insert(now_ms);
     }
@@ -85,6 +102,12 @@
         self.ready_ms.get_or_insert(now_ms);
     }
 
+    /// Records a poll of this timer, which this host makes at short intervals whenever it runs.
+    pub fn record_poll(&mut self, now_ms: u64) {
+        self.polled_ms.get_or_insert(now_ms);
+        self.note_stop(now_ms);
+    }
+
     /// Returns whether this host should claim the pool now.
     ///
     /// Vacancy is recorded in the stream, so elapsed time alone decides which host claims first. An
@@ -116,6 +139,15 @@
         owner.record.released || owner.record.host == self.host
     }
 
+    /// Notes the time in which this host did not run, if it polls.
+    fn note_stop(&mut self, now_ms: u64) {
+        let Some(polled_ms) = self.polled_ms else {
+            return;
+        };
+        self.stopped_ms += now_ms.saturating_sub(polled_ms + POLL_GAP_MAX_MS);
+        self.polled_ms = Some(now_ms);
+    }
+
     fn since_answer_ms(&self, now_ms: u64) -> u64 {
         self.answered_ms
             .map_or(0, |before| now_ms.saturating_sub(before))
@@ -125,7 +157,7 @@
     /// answers come at the same time on all hosts, which would then claim at the same time.
     fn silence_at(&self, now_ms: u64) -> u64 {
         let open_ms = self.since_answer_ms(now_ms).min(READ_WAIT_MS);
-        self.silence_ms + open_ms
+        self.silence_ms + open_ms.saturating_sub(self.stopped_ms)
     }
 
     /// Returns the silence of an owner after which this host claims.
--- a/tests/election.rs
+++ b/tests/election.rs
@@ -44,6 +44,8 @@
 struct Scene {
     /// Times at which the owner's heartbeats reach the store, in ms.
     heartbeats_ms: Vec<u64>,
+    /// When the watching host does not run, in ms; empty if it always does.
+    stopped_ms: RangeInclusive<u64>,
 }
 
 /// A host that watches the owner.
@@ -73,7 +75,7 @@
     /// Returns when the host claims the pool, if it does.
     fn claim_ms(mut self, scene: &Scene) -> Option<u64> {
         let mut times = (0..OBSERVED_MS).step_by(STEP_MS as usize);
-        times.find(|now_ms| self.claims(*now_ms, scene))
+        times.find(|now_ms| !scene.stopped_ms.contains(now_ms) && self.claims(*now_ms, scene))
     }
 
     fn claims(&mut self, now_ms: u64, scene: &Scene) -> bool {
@@ -81,6 +83,7 @@
         if now_ms % POLL_MS != self.phase_ms {
             return false;
         }
+        self.timer.record_poll(now_ms);
         self.timer.should_claim(Some(&owner()), now_ms, 0)
     }
 
@@ -115,6 +118,8 @@
     claims_ms: Option<RangeInclusive<u64>>,
 }
 
+const RUNNING: RangeInclusive<u64> = OBSERVED_MS..=OBSERVED_MS;
+
 /// Guards against false changes of the owner: one that was alive and at work was replaced because its
 /// heartbeats came late, and each change costs the pool seconds of placement.
 #[test]
@@ -126,6 +131,7 @@
             name: "heartbeats in time",
             scene: Scene {
                 heartbeats_ms: heartbeats(HEARTBEAT_MS, OBSERVED_MS),
+                stopped_ms: RUNNING,
             },
             claims_ms: None,
         },
@@ -133,6 +139,7 @@
             name: "heartbeats come each 1,100 ms",
             scene: Scene {
                 heartbeats_ms: heartbeats(1_100, OBSERVED_MS),
+                stopped_ms: RUNNING,
             },
             claims_ms: None,
         },
@@ -142,6 +149,7 @@
                 heartbeats_ms: (0..10)
                     .flat_map(|turn| [turn * 1_790, turn * 1_790 + 780])
                     .collect(),
+                stopped_ms: RUNNING,
             },
             claims_ms: None,
         },
@@ -149,9 +157,19 @@
             name: "killed",
             scene: Scene {
                 heartbeats_ms: last(),
+                stopped_ms: RUNNING,
             },
             claims_ms: Some(3_200..=3_500),
         },
+        SilenceCase {
+            name: "the watching host itself was stopped for a second",
+            scene: Scene {
+                heartbeats_ms: vec![0, 450, 3_000, 3_450],
+                stopped_ms: 500..=1_600,
+            },
+            // 2,550 ms without a heartbeat, of which the host has run 1,400 ms or so.
+            claims_ms: Some(2_800..=3_000),
+        },
     ];
     for case in cases {
         let claimed_ms = WatchingHost::new("host", 0.0, 0).claim_ms(&case.scene);
@@ -172,6 +190,7 @@
 fn many_hosts_do_not_claim_at_once_when_the_owner_is_killed() {
     let scene = Scene {
         heartbeats_ms: heartbeats(HEARTBEAT_MS, 2_000),
+        stopped_ms: RUNNING,
     };
     // Distinct ranks of large hosts, without the very first one.
     let rank = |index: usize| (1 + index) as f64 / (1 + HOSTS) as f64 * 0.4;
