Ask a silent owner itself before the pool is claimed

What callers saw: LOST, SHORT and RECLAIM on the large site. An owner whose thread is busy reads the confirmations of its heartbeats late; nobody else appends to the jobs stream, so that is silence for all 146 other hosts at once, and one of them takes the pool over while the owner is at work. The next owner starts with the largest load of all.

Cause: a claim rested on one path of evidence only.

800 ms before its claim is due, a host now asks the owner's process over the link between peers (PeerCall::Term). An owner that names the term, a confirmed append younger than its ownership timeout and a round of its loop younger than a third of a lease delays the claim, up to three quarters of a lease and 2,800 ms at most. Refused, silent or without the term: the claim is made when it is due, so a killed owner is replaced as before.

--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -14,6 +14,7 @@
 use crate::wire::api::{AuditFilter, ChangeView, ExplainView, HostsView, JobView, TicketView};
 use crate::wire::log::HostState;
 use crate::work::model::stream::{KeyedValue, StoreCall, StoreFailure, StoreReply};
+use crate::work::model::term_report::TermReport;
 
 /// One frame.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -75,6 +76,8 @@
     Store(StoreCall),
     /// Store a record with the owner's next append.
     Record(KeyedValue),
+    /// Tell under which term this host owns the pool.
+    Term,
 }
 
 /// A scheduler's reply.
@@ -97,6 +100,8 @@
     Store(Result<StoreReply, StoreFailure>),
     /// Outcome of the owner's append.
     Recorded(Result<(), StoreFailure>),
+    /// The host's term; none if it does not own the pool.
+    Term(Option<TermReport>),
 }
 
 /// Reply to an intent.
--- a/src/work/host.rs
+++ b/src/work/host.rs
@@ -12,6 +12,7 @@
 use crate::work::intake::listener::GuardedListener;
 use crate::work::model::record::{HostRecord, WorkRecord};
 use crate::work::model::stream::{KeyedValue, StoreCall, StoreFailure, StreamName, StreamRecord};
+use crate::work::model::term_report::TermReport;
 use crate::work::owner_loop::run_owner_loop;
 use crate::work::peers::links::{PeerService, PeerSet, serve_peers};
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
@@ -167,6 +168,10 @@
         self.context.identity.limits.request_bytes.saturating_mul(2)
     }
 
+    fn term_report(&self) -> Option<TermReport> {
+        self.context.term_status.report(steady_ms())
+    }
+
     async fn record(&self, entry: KeyedValue) -> Result<(), StoreFailure> {
         self.context.group_commit.record(entry).await
     }
--- a/src/work/model/mod.rs
+++ b/src/work/model/mod.rs
@@ -9,4 +9,5 @@
 pub mod speed_record;
 pub mod stream;
 pub mod task_ref;
+pub mod term_report;
 pub mod upstream;
--- a/src/work/owner_loop/claim.rs
+++ b/src/work/owner_loop/claim.rs
@@ -49,6 +49,7 @@
         stamp: Some(stamp(term, 0)),
         expected_end: Some(context.next_jobs_offset.get()),
     };
+    let sent_ms = steady_ms();
     let result = context.call_store(&call).await;
     context.refresh_jobs().await.map_err(to_report)?;
     let owner = context.jobs_view.borrow().owner.clone();
@@ -57,6 +58,7 @@
         won,
         "another host owns the pool; this host's append under term {term}: {result:?}"
     );
+    context.term_status.begin(term, sent_ms, steady_ms());
     let call = StoreCall::Append {
         stream: StreamName::Runs,
         entries: vec![KeyedValue {
--- a/src/work/owner_loop/job_writer.rs
+++ b/src/work/owner_loop/job_writer.rs
@@ -66,6 +66,7 @@
             });
         let Err(stop) = appended.await else {
             self.ownership.confirm(sent_ms);
+            self.context.term_status.confirm(sent_ms);
             let took_ms = steady_ms().saturating_sub(sent_ms);
             self.meter.record_append(StreamName::Jobs, took_ms);
             return true;
--- a/src/work/peers/links.rs
+++ b/src/work/peers/links.rs
@@ -22,6 +22,7 @@
 use crate::work::intake::metered::{MessageMeter, MeteredStream};
 use crate::work::intake::reply_queue::reply_queue;
 use crate::work::model::stream::{KeyedValue, StoreCall, StoreFailure, StoreReply};
+use crate::work::model::term_report::TermReport;
 use crate::work::ports::StorePort;
 
 /// Time for which a peer that failed is tried after all others.
@@ -89,6 +90,15 @@
         }
     }
 
+    /// Asks the peer for its term as the pool's owner, for at most `limit`. Returns none if it gives
+    /// no answer or has no term.
+    pub async fn ask_term(&self, limit: Duration) -> Option<TermReport> {
+        match self.link.call(PeerCall::Term, limit).await {
+            Ok(PeerReply::Term(report)) => report,
+            _ => None,
+        }
+    }
+
     /// Waits until the peer has been silent for `SILENCE_TIMEOUT_MS`.
     async fn wait_for_silence(&self) {
         while self.link.silence_ms() < SILENCE_TIMEOUT_MS {
@@ -116,6 +126,11 @@
         MESSAGE_DEFAULT_BYTES
     }
 
+    /// Returns this host's term as the pool's owner, if it has one.
+    fn term_report(&self) -> Option<TermReport> {
+        None
+    }
+
     /// Stores a record with the owner's group commit.
     fn record(&self, entry: KeyedValue) -> impl Future<Output = Result<(), StoreFailure>>;
 }
@@ -216,6 +231,13 @@
         Some(link)
     }
 
+    /// Returns the link to one peer, also if the peer failed recently; none if it is unknown.
+    pub fn open_link_to(&self, address: SocketAddr) -> Option<StoreLink> {
+        let mut rows = self.rows.borrow_mut();
+        let row = rows.iter_mut().find(|row| row.address == address)?;
+        Some(row.open_link(steady_ms()))
+    }
+
     /// Records that a call to a peer failed, and closes its link.
     pub fn mark_failed(&self, link: &StoreLink) {
         let address = link.link.address();
@@ -326,6 +348,7 @@
             PeerReply::Store(forward_call(&*service, &call).await)
         }
         PeerBody::Call(PeerCall::Record(entry)) => PeerReply::Recorded(service.record(entry).await),
+        PeerBody::Call(PeerCall::Term) => PeerReply::Term(service.term_report()),
         _ => return None,
     };
     let reply = PeerFrame {
--- a/src/work/state/context.rs
+++ b/src/work/state/context.rs
@@ -20,6 +20,7 @@
 use crate::work::state::active_config::ActiveConfig;
 use crate::work::state::election::ElectionTimer;
 use crate::work::state::jobs_view::{JobsView, ViewChange};
+use crate::work::state::term_status::TermStatus;
 use crate::work::store::follow::list_newest;
 use crate::work::store::group_commit::GroupCommitQueue;
 use crate::work::store::limits::StoreLimits;
@@ -80,6 +81,8 @@
     pub election: RefCell<ElectionTimer>,
     /// The pool's state while this host owns it.
     pub owner: RefCell<Option<PoolOwner>>,
+    /// This host's term as the pool's owner, for peers that ask.
+    pub term_status: TermStatus,
     /// Records that wait for the owner's next append.
     pub group_commit: GroupCommitQueue,
     /// Wakes the owner's loop.
@@ -110,6 +113,7 @@
             config_wake: Notify::new(),
             election: RefCell::new(election),
             owner: RefCell::new(None),
+            term_status: TermStatus::default(),
             group_commit: GroupCommitQueue::default(),
             owner_wake: Notify::new(),
             draining: Cell::new(false),
@@ -175,7 +179,8 @@
         result
     }
 
-    fn owner_address(&self) -> Option<SocketAddr> {
+    /// Returns the address at which the pool's owner serves its peers, if known.
+    pub fn owner_address(&self) -> Option<SocketAddr> {
         let jobs_view = self.jobs_view.borrow();
         let owner = &jobs_view.owner.as_ref()?.record.host;
         let host = jobs_view.hosts.iter().find(|host| host.name == *owner)?;
--- a/src/work/state/election.rs
+++ b/src/work/state/election.rs
@@ -5,6 +5,7 @@
 //! also differ in size, and a small one is too slow for the whole pool under load.
 
 use crate::tables::name::ObjectName;
+use crate::work::state::inquiry::{INQUIRY_TIMEOUT_MS, InquiryVerdict, OwnerInquiry};
 use crate::work::state::jobs_view::{HostRow, OwnerRow};
 use crate::work::store::timing::READ_WAIT_MS;
 
@@ -25,6 +26,12 @@
 /// Longest time between two polls of this host's own timer, in ms. In what is longer this host did
 /// not run, so that it would have read no heartbeat.
 const POLL_GAP_MAX_MS: u64 = 250;
+/// Share of a lease in percent for which an owner that proves to be at work may be silent. The rest
+/// remains for a successor that has to renew the leases.
+const PROVED_SILENCE_PERCENT: u64 = 75;
+/// Longest silence of such an owner however long leases are, in ms: it may answer its peers and yet
+/// not reach the store, so that nothing is recorded meanwhile.
+const PROVED_SILENCE_MAX_MS: u64 = 2 * OWNER_TIMEOUT_MS;
 /// Low bits of a term that distinguish rivals for it.
 const TERM_NONCE_BITS: u32 = 16;
 
@@ -37,9 +44,22 @@
     pub heartbeat_age_ms: Option<u64>,
     /// Time since the store's last answer, in ms; none before the first.
     pub answer_age_ms: Option<u64>,
+    /// What the owner's own answers show.
+    pub inquiry: InquiryVerdict,
 }
 
-/// Decides from the owner's heartbeats when this host should claim the pool.
+/// What a host does about the pool's owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ElectionStep {
+    /// Nothing for now.
+    Wait,
+    /// Ask the owner itself whether it is at work.
+    AskOwner,
+    /// Claim the pool.
+    Claim,
+}
+
+/// Decides from the owner's heartbeats and answers when this host should claim the pool.
 #[derive(Clone, Debug)]
 pub struct ElectionTimer {
     host: ObjectName,
@@ -56,6 +76,7 @@
     polled_ms: Option<u64>,
     /// Time since the store's last answer in which this host did not run.
     stopped_ms: u64,
+    inquiry: OwnerInquiry,
 }
 
 impl ElectionTimer {
@@ -70,6 +91,7 @@
             ready_ms: None,
             polled_ms: None,
             stopped_ms: 0,
+            inquiry: OwnerInquiry::default(),
         }
     }
 
@@ -81,6 +103,7 @@
         self.stopped_ms = 0;
         self.answered_ms = self.answered_ms.map(|_| now_ms);
         self.heartbeat_ms = Some(now_ms);
+        self.inquiry.clear();
     }
 
     /// Records an answer of the store. Only time between answers counts as silence of the owner.
@@ -108,7 +131,58 @@
         self.note_stop(now_ms);
     }
 
-    /// Returns whether this host should claim the pool now.
+    /// Records that the owner is asked.
+    pub fn record_inquiry(&mut self, now_ms: u64) {
+        self.inquiry.start(now_ms);
+    }
+
+    /// Records the outcome of the inquiry that was sent at `asked_ms`: whether the owner has proved
+    /// to be at work.
+    pub fn record_inquiry_outcome(&mut self, asked_ms: u64, now_ms: u64, at_work: bool) {
+        self.inquiry.finish(asked_ms, now_ms, at_work);
+    }
+
+    /// Returns what this host should do now, as its records and the owner's own answers tell.
+    ///
+    /// The owner is asked early enough for the outcome to be known when its silence calls for a
+    /// claim. Proof that it is at work delays the claim, but not beyond the time in which a successor
+    /// can renew the leases.
+    pub fn next_step(
+        &self,
+        owner: Option<&OwnerRow>,
+        now_ms: u64,
+        allowance_ms: u64,
+        lease_ms: u64,
+    ) -> ElectionStep {
+        let is_silent = self.should_claim(owner, now_ms, allowance_ms);
+        let Some(owner) = owner.filter(|row| !self.is_vacant(row)) else {
+            return match is_silent {
+                true => ElectionStep::Claim,
+                false => ElectionStep::Wait,
+            };
+        };
+        let silence_ms = self.silence_at(now_ms);
+        let claim_ms = self.claim_silence_ms(owner, allowance_ms);
+        let of_lease_ms = lease_ms * PROVED_SILENCE_PERCENT / 100;
+        let longest_ms = of_lease_ms.min(PROVED_SILENCE_MAX_MS) + allowance_ms;
+        let verdict = self.inquiry.verdict(now_ms);
+        let is_doubted = match verdict {
+            InquiryVerdict::Unasked | InquiryVerdict::Awaited => true,
+            InquiryVerdict::AtWork => {
+                silence_ms < longest_ms.max(claim_ms) + self.wait_ms(owner, allowance_ms)
+            }
+            InquiryVerdict::Unproved => false,
+        };
+        if is_silent && !is_doubted {
+            return ElectionStep::Claim;
+        }
+        match silence_ms + INQUIRY_TIMEOUT_MS >= claim_ms && self.inquiry.is_due(now_ms) {
+            true => ElectionStep::AskOwner,
+            false => ElectionStep::Wait,
+        }
+    }
+
+    /// Returns whether the records alone call for a claim by this host.
     ///
     /// Vacancy is recorded in the stream, so elapsed time alone decides which host claims first. An
     /// owner's silence counts only while the store answers. `allowance_ms` is the delay that a slow
@@ -132,6 +206,7 @@
             silence_ms: self.silence_at(now_ms),
             heartbeat_age_ms: age(self.heartbeat_ms),
             answer_age_ms: age(self.answered_ms),
+            inquiry: self.inquiry.verdict(now_ms),
         }
     }
 
--- a/src/work/state/mod.rs
+++ b/src/work/state/mod.rs
@@ -3,4 +3,6 @@
 pub mod active_config;
 pub mod context;
 pub mod election;
+pub mod inquiry;
 pub mod jobs_view;
+pub mod term_status;
