Write heartbeats while a new owner claims the pool

Cause: after the record of its claim a new owner fenced, listed and read all rows before its loop began, which wrote the first heartbeat 450 ms later. A claim that took a second was silence beyond the limit, and the next host did the same with a larger load.

The claim now writes heartbeats each 450 ms from its record on, and awaits the one in flight before the loop goes on with the next sequence number. The term's first proof of ownership still dates from the fence.

--- a/src/work/owner_loop/claim.rs
+++ b/src/work/owner_loop/claim.rs
@@ -1,8 +1,10 @@
 //! Claim of the pool by a new owner: fences the previous owner and restores the pool's state.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use eyre::{Report, ensure, eyre};
+use tokio::sync::Notify;
 
 use crate::tables::name::ObjectName;
 use crate::work::clock::{host_time, steady_ms};
@@ -13,6 +15,8 @@
 };
 use crate::work::owner::PoolOwner;
 use crate::work::owner_loop::claimed_term::ClaimedTerm;
+use crate::work::owner_loop::job_writer::HEARTBEAT_INTERVAL_MS;
+use crate::work::owner_loop::writer::OwnerWriter;
 use crate::work::ports::{OrderPort, RecordReader, StorePort};
 use crate::work::state::context::HostContext;
 use crate::work::state::election::next_term;
@@ -59,6 +63,30 @@
         "another host owns the pool; this host's append under term {term}: {result:?}"
     );
     context.term_status.begin(term, sent_ms, steady_ms());
+    // The claim used sequence number 0.
+    let jobs = OwnerWriter::new(StreamName::Jobs, term, 1);
+    let restored = with_heartbeats(context, &jobs, restore(context, term)).await?;
+    install_owner(context, term, &restored.rows, &restored.reports)?;
+    Ok(ClaimedTerm {
+        term,
+        fenced_ms: restored.fenced_ms,
+        next_jobs_sequence: jobs.next.get(),
+    })
+}
+
+/// What a new owner has read, and when it fenced earlier owners.
+struct RestoredPool {
+    fenced_ms: u64,
+    rows: StoredRows,
+    reports: Vec<StreamRecord>,
+}
+
+/// Fences earlier owners in the stream of runs, then reads all that the new owner starts from.
+async fn restore<S: StorePort, O: OrderPort, R: RecordReader>(
+    context: &HostContext<S, O, R>,
+    term: u64,
+) -> Result<RestoredPool, Report> {
+    let to_report = |failure: StoreFailure| eyre!("{failure}");
     let call = StoreCall::Append {
         stream: StreamName::Runs,
         entries: vec![KeyedValue {
@@ -70,14 +98,55 @@
     };
     let fenced_ms = steady_ms();
     context.call_store(&call).await.map_err(to_report)?;
-    let runs = list_runs(context, term).await.map_err(to_report)?;
+    let rows = list_runs(context, term).await.map_err(to_report)?;
     // Until its fence, the previous owner may have placed jobs that were accepted after the last read.
     context.refresh_jobs().await.map_err(to_report)?;
     // Evacuations that were requested under the previous owner hold from the first start on.
     let reports = list_all(context, StreamName::Upstreams);
     let (reports, ()) = tokio::try_join!(reports, context.refresh_config()).map_err(to_report)?;
-    install_owner(context, term, &runs, &reports)?;
-    Ok(ClaimedTerm { term, fenced_ms })
+    Ok(RestoredPool {
+        fenced_ms,
+        rows,
+        reports,
+    })
+}
+
+/// Does part of a claim, and writes heartbeats for as long as it takes: other hosts count the time
+/// from the claim as well.
+async fn with_heartbeats<S: StorePort, O, R, T>(
+    context: &HostContext<S, O, R>,
+    jobs: &OwnerWriter,
+    work: impl Future<Output = Result<T, Report>>,
+) -> Result<T, Report> {
+    let done = Notify::new();
+    let work = async {
+        let result = work.await;
+        done.notify_one();
+        result
+    };
+    // A heartbeat that is in flight is awaited, as its sequence number counts.
+    let (result, ()) = tokio::try_join!(work, write_heartbeats(context, jobs, &done))?;
+    Ok(result)
+}
+
+/// Writes heartbeats until `done` is notified.
+async fn write_heartbeats<S: StorePort, O, R>(
+    context: &HostContext<S, O, R>,
+    jobs: &OwnerWriter,
+    done: &Notify,
+) -> Result<(), Report> {
+    loop {
+        tokio::select! {
+            () = done.notified() => return Ok(()),
+            () = tokio::time::sleep(Duration::from_millis(HEARTBEAT_INTERVAL_MS)) => {}
+        }
+        let sent_ms = steady_ms();
+        let record = WorkRecord::Owner(owner_record(context, jobs.term, false));
+        let appended = jobs.append_items(context, vec![KeyedValue::from(&record)], |_, _| {});
+        appended.await.map_err(|stop| eyre!("{}", stop.failure))?;
+        context.term_status.confirm(sent_ms);
+        context.term_status.turn(steady_ms());
+    }
 }
 
 /// Returns the owner's record for the jobs stream: a heartbeat, or with `released` set the
--- a/src/work/owner_loop/job_writer.rs
+++ b/src/work/owner_loop/job_writer.rs
@@ -13,7 +13,7 @@
 use crate::work::store::group_commit::PendingRecord;
 
 /// Time without another append to the jobs stream after which the owner writes a heartbeat.
-const HEARTBEAT_INTERVAL_MS: u64 = 450;
+pub(super) const HEARTBEAT_INTERVAL_MS: u64 = 450;
 
 impl<S: StorePort, O: OrderPort, R: RecordReader> OwnerLoop<S, O, R> {
     /// Appends queued records, other hosts' records and heartbeats to the jobs stream until the
--- a/src/work/owner_loop/mod.rs
+++ b/src/work/owner_loop/mod.rs
@@ -89,14 +89,7 @@
     fn new(context: &Rc<HostContext<S, O, R>>, claimed: ClaimedTerm) -> Self {
         let term = claimed.term;
         let timeout_ms = context.identity.timing.ownership_timeout_ms;
-        let writer = |stream| {
-            Rc::new(OwnerWriter {
-                stream,
-                term,
-                // The claim used sequence number 0.
-                next: Cell::new(1),
-            })
-        };
+        let writer = |stream, next| Rc::new(OwnerWriter::new(stream, term, next));
         Self {
             context: Rc::clone(context),
             term,
@@ -104,8 +97,9 @@
             ended: Rc::default(),
             recording: Rc::default(),
             ownership: Rc::new(Ownership::new(claimed, timeout_ms)),
-            runs: writer(StreamName::Runs),
-            jobs: writer(StreamName::Jobs),
+            // The fence used sequence number 0.
+            runs: writer(StreamName::Runs, 1),
+            jobs: writer(StreamName::Jobs, claimed.next_jobs_sequence),
             job_rows: Rc::default(),
             job_wake: Rc::default(),
             next_removal_ms: Rc::default(),
--- a/src/work/owner_loop/writer.rs
+++ b/src/work/owner_loop/writer.rs
@@ -53,6 +53,15 @@
 }
 
 impl OwnerWriter {
+    /// Creates the writer of a term, whose next append has the sequence number `next`.
+    pub(super) fn new(stream: StreamName, term: u64, next: u64) -> Self {
+        Self {
+            stream,
+            term,
+            next: Cell::new(next),
+        }
+    }
+
     /// Appends items in order, in as few calls as the store's limits permit. An item that the store
     /// refuses for good is passed over, so that it does not hold up the others. Each item goes to
     /// `on_outcome`.
