--- a/src/work/owner_loop/mod.rs
+++ b/src/work/owner_loop/mod.rs
@@ -6,6 +6,7 @@
 //! large host can replace a small one.
 
 pub mod answer_inbox;
+mod candidacy;
 mod claim;
 mod claimed_term;
 mod job_rows;
@@ -20,9 +21,10 @@
 pub mod upstream_answer;
 mod writer;
 
+pub use candidacy::run_owner_loop;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
 
 use tokio::sync::Notify;
 
@@ -31,7 +33,7 @@
 use crate::work::model::stream::{KeyedValue, StreamName};
 use crate::work::owner::{PoolOwner, RowBatch};
 use crate::work::owner_loop::answer_inbox::AnswerInbox;
-use crate::work::owner_loop::claim::{claim, owner_record};
+use crate::work::owner_loop::claim::owner_record;
 use crate::work::owner_loop::claimed_term::ClaimedTerm;
 use crate::work::owner_loop::job_rows::JobRows;
 use crate::work::owner_loop::ownership::Ownership;
@@ -43,61 +45,11 @@
 use crate::work::state::election::should_step_down;
 use crate::work::store::follow::StreamFollower;
 
-/// Interval at which a host checks whether it should claim the pool.
-const ELECTION_POLL_MS: u64 = 50;
-/// Delay after a failed claim of the pool.
-const CLAIM_RETRY_MS: u64 = 150;
 /// Interval at which the owner removes old jobs, in ms.
 const REMOVAL_INTERVAL_MS: u64 = 1_000;
 /// Why a term ends that the store no longer confirms.
 const UNCONFIRMED: &str = "no append was confirmed within the ownership timeout";
 
-/// Claims the pool whenever it needs an owner, and runs the owner's loop after a successful
-/// claim. Never returns.
-pub async fn run_owner_loop<S: StorePort, O: OrderPort, R: RecordReader>(
-    context: Rc<HostContext<S, O, R>>,
-) {
-    loop {
-        tokio::time::sleep(Duration::from_millis(ELECTION_POLL_MS)).await;
-        if !should_claim(&context) {
-            continue;
-        }
-        match claim(&context).await {
-            Ok(claimed) => OwnerLoop::new(&context, claimed).run().await,
-            Err(error) => {
-                log::info!("owner: claiming the pool failed, retrying later: {error}.");
-                tokio::time::sleep(Duration::from_millis(CLAIM_RETRY_MS)).await;
-            }
-        }
-    }
-}
-
-/// Returns whether this host should claim the pool now.
-fn should_claim<S: StorePort, O, R>(context: &HostContext<S, O, R>) -> bool {
-    if !context.is_ready() {
-        return false;
-    }
-    let now_ms = steady_ms();
-    let mut election = context.election.borrow_mut();
-    election.record_ready(now_ms);
-    let allowance_ms = context.store.health(StreamName::Jobs).allowance_ms();
-    let jobs_view = context.jobs_view.borrow();
-    let owner = jobs_view.owner.as_ref();
-    if !election.should_claim(owner, now_ms, allowance_ms) {
-        return false;
-    }
-    let evidence = election.evidence(now_ms);
-    log::info!(
-        owner = owner.map_or("", |row| row.record.host.as_str()),
-        term = owner.map_or(0, |row| row.record.term),
-        released = owner.is_some_and(|row| row.record.released),
-        silence_ms = evidence.silence_ms, heartbeat_age_ms:? = evidence.heartbeat_age_ms,
-        answer_age_ms:? = evidence.answer_age_ms, allowance_ms;
-        "owner: this host claims the pool."
-    );
-    true
-}
-
 /// The loop that one host runs during one term as owner. Clones share its state.
 struct OwnerLoop<S, O, R> {
     context: Rc<HostContext<S, O, R>>,
@@ -141,14 +93,7 @@
     fn new(context: &Rc<HostContext<S, O, R>>, claimed: ClaimedTerm) -> Self {
         let term = claimed.term;
         let timeout_ms = context.identity.timing.ownership_timeout_ms;
-        let writer = |stream| {
-            Rc::new(OwnerWriter {
-                stream,
-                term,
-                // The claim used sequence number 0.
-                next: Cell::new(1),
-            })
-        };
+        let writer = |stream, next| Rc::new(OwnerWriter::new(stream, term, next));
         Self {
             context: Rc::clone(context),
             term,
@@ -157,8 +102,9 @@
             recording: Rc::default(),
             ownership: Rc::new(Ownership::new(claimed, timeout_ms)),
             inbox: Rc::default(),
-            runs: writer(StreamName::Runs),
-            jobs: writer(StreamName::Jobs),
+            // The fence used sequence number 0.
+            runs: writer(StreamName::Runs, 1),
+            jobs: writer(StreamName::Jobs, claimed.next_jobs_sequence),
             job_rows: Rc::default(),
             job_wake: Rc::default(),
             next_removal_ms: Rc::default(),
@@ -194,6 +140,7 @@
     fn tick(&self) {
         // One reading for all: what is granted below must not be later than what is checked here.
         let now = host_time();
+        self.context.term_status.turn(now.steady_ms);
         let replaced = {
             let jobs_view = self.context.jobs_view.borrow();
             jobs_view
@@ -325,6 +272,7 @@
                 return;
             }
             self.ownership.confirm(sent_ms);
+            self.context.term_status.confirm(sent_ms);
             let took_ms = steady_ms().saturating_sub(sent_ms);
             self.meter.record_append(StreamName::Runs, took_ms);
         }
