Look at the upstreams that are due, not at all of them, in each tick

Callers of the large deployment saw LOST and SHORT: the owner's thread was filled. One part: each turn of the owner's loop scanned all upstreams four times, for expired leases, for due renewals, for ends in the batch and for ends that are recorded. A turn follows each burst of events, so the cost of an event grew with the pool.

An upstream is looked at when its state has changed, or when the time has come that was set after the last look: its next renewal, or the end of its leases. Upstreams with unrecorded ends wait in a list by batch. An insertion into the list of upstreams changes their indexes, so all are looked at then.

The simulated pool now checks after each tick that no upstream has a renewal or expired leases that were due.

--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -8,6 +8,7 @@
 pub mod crash_history;
 mod crashes;
 mod departures;
+mod due_upstreams;
 mod ends;
 pub mod failure_ledger;
 mod fencing;
@@ -49,6 +50,7 @@
 use crate::work::model::record::JobPhase;
 use crate::work::model::stream::KeyedValue;
 use crate::work::model::upstream::{RenewOrder, StartOrder, StopOrder};
+use crate::work::owner::due_upstreams::DueUpstreams;
 use crate::work::owner::failure_ledger::FailureLedger;
 use crate::work::owner::job_state::JobState;
 use crate::work::owner::loss_proof::LossProof;
@@ -78,6 +80,12 @@
     order: StartOrder,
 }
 
+/// An upstream with handled ends, and the batch that records them.
+struct PendingEnds {
+    batch: u64,
+    upstream: ObjectName,
+}
+
 /// State of the host that owns the pool.
 pub struct PoolOwner {
     term: u64,
@@ -87,7 +95,10 @@
     jobs: Vec<JobState>,
     upstreams: Vec<UpstreamState>,
     failures: FailureLedger,
+    due: DueUpstreams,
     pending_starts: VecDeque<PendingStart>,
+    /// Sorted by batch.
+    pending_ends: VecDeque<PendingEnds>,
     ready: Vec<UpstreamOrder>,
     batch: u64,
     phases: Vec<(ObjectName, JobPhase)>,
@@ -130,7 +141,9 @@
             jobs: Vec::new(),
             upstreams: Vec::new(),
             failures: FailureLedger::default(),
+            due: DueUpstreams::default(),
             pending_starts: VecDeque::new(),
+            pending_ends: VecDeque::new(),
             ready: Vec::new(),
             batch: 1,
             phases: Vec::new(),
@@ -221,9 +234,11 @@
             Err(index) => {
                 self.upstreams
                     .insert(index, UpstreamState::new(name.clone()));
+                self.due.reset();
                 index
             }
         };
+        self.due.touch(index);
         &mut self.upstreams[index]
     }
 
@@ -308,7 +323,9 @@
     /// Does everything that is due. Call after events and at least every 100 ms.
     pub fn tick(&mut self, now: HostTime) {
         self.now = now;
-        self.expire_silent_leases();
+        let mut due = Vec::new();
+        self.take_due(&mut due);
+        self.expire_silent_leases(&due);
         self.leave_departing();
         let passed_ms = now.steady_ms.saturating_sub(self.last_placement_ms);
         self.keep_speeds();
@@ -320,7 +337,8 @@
             self.place_waiting_units();
         }
         self.send_due_orders();
-        self.renew_upstreams();
+        self.take_due(&mut due);
+        self.renew_upstreams(&due);
         self.collect_phase_changes();
     }
 
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -335,6 +335,7 @@
         );
         metrics::histogram!("hemlockramp_wait_seconds").record(waited_ms as f64 / 1_000.0);
         for (member, &index) in chosen.iter().enumerate() {
+            self.due.touch(pool.upstream_indexes[index]);
             let upstream = &mut self.upstreams[pool.upstream_indexes[index]];
             upstream.hold(HeldTask {
                 job: id.clone(),
--- a/src/work/owner/recording.rs
+++ b/src/work/owner/recording.rs
@@ -3,9 +3,9 @@
 use crate::tables::name::ObjectName;
 use crate::work::model::record::{JobPhase, WorkRecord, job_of_row};
 use crate::work::model::stream::KeyedValue;
-use crate::work::owner::PoolOwner;
 use crate::work::owner::job_state::JobState;
 use crate::work::owner::work_counts::WorkKind;
+use crate::work::owner::{PendingEnds, PoolOwner};
 
 /// Rows that must be stored before the orders of the same batch go out.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -69,15 +69,7 @@
         }
         batch.finished.append(&mut self.finished);
         batch.ended.append(&mut self.newly_ended);
-        self.counts.add(WorkKind::ScanStep, self.upstreams.len());
-        let has_dependents = self
-            .pending_starts
-            .iter()
-            .any(|start| start.batch == self.batch)
-            || self
-                .upstreams
-                .iter()
-                .any(|upstream| upstream.end_batch == Some(self.batch));
+        let has_dependents = self.has_dependents();
         let empty = batch.runs.is_empty()
             && batch.jobs.is_empty()
             && batch.finished.is_empty()
@@ -89,6 +81,29 @@
         Some(batch)
     }
 
+    /// Returns whether starts or acknowledgements wait for the next batch.
+    fn has_dependents(&self) -> bool {
+        let batch = self.batch;
+        let starts = self.pending_starts.back();
+        if starts.is_some_and(|start| start.batch == batch) {
+            return true;
+        }
+        let ends = self.pending_ends.iter().rev();
+        let mut newest = ends.take_while(|ends| ends.batch == batch);
+        newest.any(|ends| {
+            self.counts.add(WorkKind::ScanStep, 1);
+            let upstream = self.upstream_index(&ends.upstream);
+            upstream.is_some_and(|index| self.upstreams[index].end_batch == Some(batch))
+        })
+    }
+
+    /// Notes that the ends of an upstream are recorded by the next batch.
+    pub(super) fn await_record(&mut self, index: usize) {
+        let batch = self.batch;
+        let upstream = self.upstreams[index].name.clone();
+        self.pending_ends.push_back(PendingEnds { batch, upstream });
+    }
+
     /// Handles that all batches up to `number` are in the store.
     pub fn on_durable(&mut self, number: u64) {
         while let Some(start) = self
@@ -97,13 +112,23 @@
         {
             self.release_start(start.order);
         }
-        self.counts.add(WorkKind::ScanStep, self.upstreams.len());
-        for upstream in &mut self.upstreams {
-            if upstream.end_batch.is_some_and(|batch| batch <= number) {
-                upstream.end_batch = None;
-                upstream.recorded_end = upstream.seen_end;
-                upstream.next_renewal_ms = 0;
-            }
+        while let Some(ends) = self.pending_ends.pop_front_if(|ends| ends.batch <= number) {
+            self.counts.add(WorkKind::ScanStep, 1);
+            self.acknowledge_soon(&ends.upstream, number);
+        }
+    }
+
+    /// Lets an upstream's ends be acknowledged if all of them are recorded by the batches up to `number`.
+    fn acknowledge_soon(&mut self, name: &ObjectName, number: u64) {
+        let Some(index) = self.upstream_index(name) else {
+            return;
+        };
+        let upstream = &mut self.upstreams[index];
+        if upstream.end_batch.is_some_and(|batch| batch <= number) {
+            upstream.end_batch = None;
+            upstream.recorded_end = upstream.seen_end;
+            upstream.next_renewal_ms = 0;
+            self.due.touch(index);
         }
     }
 
--- a/src/work/owner/renewals.rs
+++ b/src/work/owner/renewals.rs
@@ -27,14 +27,19 @@
 const ORDER_RESEND_MS: u64 = 700;
 
 impl PoolOwner {
+    /// Adds the upstreams for which something may be due to a sorted list.
+    pub(super) fn take_due(&mut self, due: &mut Vec<usize>) {
+        let count = self.upstreams.len();
+        self.due.take_into(due, self.now.steady_ms, count);
+    }
+
     /// Gives up the tasks of silent upstreams whose leases are over.
-    pub(super) fn expire_silent_leases(&mut self) {
-        self.counts.add(WorkKind::ScanStep, self.upstreams.len());
+    pub(super) fn expire_silent_leases(&mut self, due: &[usize]) {
+        self.counts.add(WorkKind::ScanStep, due.len());
         let now_ms = self.now.steady_ms;
-        for index in 0..self.upstreams.len() {
+        for &index in due {
             let upstream = &self.upstreams[index];
-            let silent = upstream.missed_renewals > 0 || upstream.address.is_none();
-            if !silent || upstream.held.is_empty() || upstream.leases_expire_ms > now_ms {
+            if upstream.expiry_ms().is_none_or(|at_ms| at_ms > now_ms) {
                 continue;
             }
             let name = upstream.name.clone();
@@ -58,54 +63,59 @@
         }
     }
 
-    /// Sends the renewals that are due.
-    pub(super) fn renew_upstreams(&mut self) {
-        self.counts.add(WorkKind::ScanStep, self.upstreams.len());
+    /// Sends the renewals that are due, and notes when to look at these upstreams again.
+    pub(super) fn renew_upstreams(&mut self, due: &[usize]) {
+        self.counts.add(WorkKind::ScanStep, due.len());
         let now_ms = self.now.steady_ms;
-        for index in 0..self.upstreams.len() {
-            let upstream = &mut self.upstreams[index];
-            let due = upstream.wants_renewal()
-                && !upstream.renewing
-                && upstream.next_renewal_ms <= now_ms;
-            if !due {
-                continue;
+        for &index in due {
+            let renewal_ms = self.upstreams[index].renewal_ms();
+            if renewal_ms.is_some_and(|at_ms| at_ms <= now_ms) {
+                self.renew(index);
+            }
+            if let Some(at_ms) = self.upstreams[index].next_due_ms() {
+                self.due.arm(index, at_ms);
             }
-            let Some(target) = upstream.target(self.term) else {
-                continue;
-            };
-            let acked_end = upstream.end_to_ack(now_ms);
-            let ack_is_delayed = acked_end == 0 && upstream.recorded_end > upstream.acked_end;
-            // Ends that are not yet recorded would be listed again at once, so they end the long
-            // poll. A delayed acknowledgement follows the answer.
-            let may_long_poll = upstream.reconciled
-                && upstream.missed_renewals == 0
-                && upstream.end_batch.is_none()
-                && !ack_is_delayed;
-            let until_recheck_ms = upstream
-                .recheck_ms
-                .map_or(RENEW_WAIT_MS, |at_ms| at_ms.saturating_sub(now_ms));
-            let wait_ms = match may_long_poll && !upstream.held.is_empty() {
-                true => RENEW_WAIT_MS.min(until_recheck_ms),
-                false => 0,
-            };
-            // The leases of a silent upstream must expire; it is only probed.
-            let lease_until_ms = match upstream.missed_renewals {
-                0 => upstream.grant_lease(now_ms, &self.timing),
-                _ => None,
-            };
-            upstream.renewing = true;
-            upstream.renewals += 1;
-            upstream.renewal_sent_ms = now_ms;
-            upstream.acked_end = upstream.acked_end.max(acked_end);
-            self.ready.push(UpstreamOrder::Renew(RenewOrder {
-                target,
-                lease_until_ms,
-                recorded_up_to: acked_end,
-                wait_ms,
-            }));
         }
     }
 
+    fn renew(&mut self, index: usize) {
+        let now_ms = self.now.steady_ms;
+        let upstream = &mut self.upstreams[index];
+        let Some(target) = upstream.target(self.term) else {
+            return;
+        };
+        let acked_end = upstream.end_to_ack(now_ms);
+        let ack_is_delayed = acked_end == 0 && upstream.recorded_end > upstream.acked_end;
+        // Ends that are not yet recorded would be listed again at once, so they end the long
+        // poll. A delayed acknowledgement follows the answer.
+        let may_long_poll = upstream.reconciled
+            && upstream.missed_renewals == 0
+            && upstream.end_batch.is_none()
+            && !ack_is_delayed;
+        let until_recheck_ms = upstream
+            .recheck_ms
+            .map_or(RENEW_WAIT_MS, |at_ms| at_ms.saturating_sub(now_ms));
+        let wait_ms = match may_long_poll && !upstream.held.is_empty() {
+            true => RENEW_WAIT_MS.min(until_recheck_ms),
+            false => 0,
+        };
+        // The leases of a silent upstream must expire; it is only probed.
+        let lease_until_ms = match upstream.missed_renewals {
+            0 => upstream.grant_lease(now_ms, &self.timing),
+            _ => None,
+        };
+        upstream.renewing = true;
+        upstream.renewals += 1;
+        upstream.renewal_sent_ms = now_ms;
+        upstream.acked_end = upstream.acked_end.max(acked_end);
+        self.ready.push(UpstreamOrder::Renew(RenewOrder {
+            target,
+            lease_until_ms,
+            recorded_up_to: acked_end,
+            wait_ms,
+        }));
+    }
+
     /// Schedules the next renewal of an upstream that gave no answer.
     pub(super) fn renew_later(&mut self, upstream: usize) {
         let upstream = &mut self.upstreams[upstream];
--- a/src/work/owner/replies.rs
+++ b/src/work/owner/replies.rs
@@ -154,6 +154,7 @@
     fn renew_soon(&mut self, name: &ObjectName) {
         if let Some(index) = self.upstream_index(name) {
             self.upstreams[index].next_renewal_ms = 0;
+            self.due.touch(index);
         }
     }
 
@@ -163,6 +164,7 @@
             return;
         };
         self.upstreams[index].renewing = false;
+        self.due.touch(index);
         let token = self.upstreams[index]
             .target(self.term)
             .map(|own| own.fencing_token);
@@ -241,7 +243,11 @@
             self.refute_losses(&name, incarnation);
         }
         self.reconcile_running(&name, &reply);
+        let pending = self.upstreams[index].end_batch;
         self.reconcile_ended(index, &reply.ended);
+        if self.upstreams[index].end_batch != pending {
+            self.await_record(index);
+        }
         self.reconcile_missing(&name, &reply);
     }
 
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -251,6 +251,23 @@
         }
     }
 
+    /// Returns when the next renewal is due, steady ms; `None` while none is to be sent.
+    pub fn renewal_ms(&self) -> Option<u64> {
+        let wanted = self.wants_renewal() && !self.renewing && self.address.is_some();
+        wanted.then_some(self.next_renewal_ms)
+    }
+
+    /// Returns when its tasks are given up unless it answers, steady ms; `None` while it answers.
+    pub fn expiry_ms(&self) -> Option<u64> {
+        let silent = self.missed_renewals > 0 || self.address.is_none();
+        (silent && !self.held.is_empty()).then_some(self.leases_expire_ms)
+    }
+
+    /// Returns when a renewal or the end of its leases is due next, steady ms; `None` for never as it is.
+    pub fn next_due_ms(&self) -> Option<u64> {
+        self.renewal_ms().into_iter().chain(self.expiry_ms()).min()
+    }
+
     /// Returns whether the owner has to send renewals to it.
     pub fn wants_renewal(&self) -> bool {
         let unreconciled_restart = self.restarts > 0 && !self.reconciled;
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -582,6 +582,7 @@
         }
         let Some(owner) = &mut self.owner else { return };
         owner.tick(time);
+        assert_nothing_overdue(owner, self.now_ms);
         let orders = owner.take_orders();
         if self.batch.is_none()
             && let Some(batch) = owner.take_batch()
@@ -1143,6 +1144,15 @@
     }
 }
 
+/// A tick does all that is due, of whichever upstream.
+fn assert_nothing_overdue(owner: &PoolOwner, now_ms: u64) {
+    for upstream in owner.upstreams() {
+        let due_ms = upstream.next_due_ms();
+        let overdue = due_ms.is_some_and(|at_ms| at_ms <= now_ms);
+        assert!(!overdue, "{}: due at {due_ms:?}, not done", upstream.name);
+    }
+}
+
 fn report(upstream: &SimUpstream, now_ms: u64) -> UpstreamReport {
     UpstreamReport {
         name: upstream.name.clone(),
