Compare the runs of an answer with the expected ones in one pass

Each answer of an upstream searched all listed runs for each held task, and copied the list of held tasks: the cost was the product of both.

A listed run is found by its task anyway when the answer is read, so it is marked with the number of the renewal that listed it. Only held tasks without the mark are searched for among the listed ends, in the order as before; most answers have none.

--- a/src/work/owner/reconcile.rs
+++ b/src/work/owner/reconcile.rs
@@ -14,9 +14,11 @@
 impl PoolOwner {
     pub(super) fn reconcile_running(&mut self, name: &ObjectName, reply: &RenewReply) {
         let now_ms = self.now.steady_ms;
-        let incarnation = self
+        let upstream = self
             .upstream_index(name)
-            .map_or(0, |index| self.upstreams[index].incarnation);
+            .map(|index| &self.upstreams[index]);
+        let (incarnation, renewals) =
+            upstream.map_or((0, 0), |upstream| (upstream.incarnation, upstream.renewals));
         for running in &reply.running {
             let key = (&running.task, running.run, name);
             let Some((job, unit, member)) = self.find_member(key) else {
@@ -27,6 +29,7 @@
             self.confirm_member(job, unit, member, reply.clock_ms);
             self.note_life(job, unit, member, incarnation);
             let state = &mut self.jobs[job].units[unit].members[member];
+            state.listed_at_renewal = Some(renewals);
             state.percent = running.percent;
             state.reported_ms = now_ms;
             if state.phase == MemberPhase::Sent && !state.in_flight {
@@ -61,7 +64,7 @@
         if reply.ended_is_partial {
             return;
         }
-        for held in self.upstreams[index].held.clone() {
+        for held in self.unlisted_tasks(index) {
             if let Some(job) = self.job_index(&held.job)
                 && let Some(proof) = self.absence_proof(index, job, &held, reply)
             {
@@ -70,6 +73,22 @@
         }
     }
 
+    /// Returns the held tasks whose runs the last answer does not list as running.
+    fn unlisted_tasks(&self, index: usize) -> Vec<HeldTask> {
+        let upstream = &self.upstreams[index];
+        self.counts
+            .add(WorkKind::ReconcileStep, upstream.held.len());
+        let is_unlisted = |held: &&HeldTask| {
+            let job = self.job_index(&held.job);
+            job.is_some_and(|job| {
+                let member = &self.jobs[job].units[held.unit].members[held.member];
+                member.listed_at_renewal != Some(upstream.renewals)
+            })
+        };
+        let unlisted = upstream.held.iter().filter(is_unlisted);
+        unlisted.cloned().collect()
+    }
+
     /// Gives up a run that an answer lacks, unless a stop may still be in progress.
     fn on_unlisted_run(&mut self, index: usize, job: usize, held: &HeldTask, proof: LossProof) {
         let now_ms = self.now.steady_ms;
--- a/src/work/owner/unit_state.rs
+++ b/src/work/owner/unit_state.rs
@@ -78,6 +78,9 @@
     /// Number of renewals that had been sent to the upstream by then; `None` for never. Only the answer
     /// to a later one can show that the run is not there.
     pub confirmed_at_renewal: Option<u64>,
+    /// Number of renewals that had been sent to the upstream when an answer last listed the run as
+    /// running; `None` for never.
+    pub listed_at_renewal: Option<u64>,
     /// Whether the run has been told to stop.
     pub stop: StopProgress,
     /// When an answer lacked the run for the first time since it was last confirmed, steady ms.
--- a/tests/event_cost.rs
+++ b/tests/event_cost.rs
@@ -3,6 +3,8 @@
 
 mod support;
 
+use hemlockramp::work::model::amount::ResourceAmount;
+use hemlockramp::work::model::spec::StepSpec;
 use hemlockramp::work::model::upstream::EndKind;
 use hemlockramp::work::owner::work_counts::WorkKind;
 use support::answering_pool::AnsweringPool;
@@ -159,3 +161,29 @@
         "{small} steps with 8 members, {large} with 512"
     );
 }
+
+#[test]
+fn an_answer_costs_in_proportion_to_the_runs_that_it_lists() {
+    let sizes: [u32; 2] = [4, 64];
+    let [small, large] = sizes.map(|runs| {
+        let mut pool = AnsweringPool::new(1);
+        let task = StepSpec {
+            need: ResourceAmount {
+                cpu_milli: 1_000,
+                ..ResourceAmount::default()
+            },
+            ..step(runs, 9_500, 0, false)
+        };
+        pool.submit("job", "plain", vec![task]);
+        pool.run_for(PLACED_MS);
+        assert_eq!(pool.runs(0), runs as usize);
+        let before = steps(&pool, WorkKind::ReconcileStep);
+        pool.answer(0);
+        steps(&pool, WorkKind::ReconcileStep) - before
+    });
+    let factor = u64::from(sizes[1] / sizes[0]);
+    assert!(
+        large <= 2 * factor * small,
+        "{small} steps for 4 runs, {large} for 64"
+    );
+}
