Look for losses in the units that have some

Callers of the large deployment saw LOST and SHORT: the owner's thread was filled. One part: an upstream that answers again, or starts again, was compared with the lost runs of all units of all jobs, and each lost run asked all units of its job whether they are suspect. Upstreams miss renewals by the hundred when the owner is late, so this work came when it did most harm.

Jobs now list the units that have lost runs; nearly all jobs have none.

The test failed before: 20 steps beside a job of 20 tasks, 2,000 beside one of 2,000.

--- a/src/work/owner/crashes.rs
+++ b/src/work/owner/crashes.rs
@@ -39,11 +39,10 @@
             started: state.phase == MemberPhase::Running && !state.start_unconfirmed,
         };
         let later_life = self.later_life(&loss.life);
-        let unit_state = &mut self.jobs[job].units[unit];
-        unit_state.failed_on.push(name);
-        unit_state.crashes.add_loss(member as u32, loss);
+        self.jobs[job].units[unit].failed_on.push(name);
+        self.jobs[job].add_loss(unit, member, loss);
         if let Some(life) = later_life {
-            unit_state.crashes.resolve(&life);
+            self.jobs[job].units[unit].crashes.resolve(&life);
         }
     }
 
@@ -61,9 +60,10 @@
     pub(super) fn resolve_losses(&mut self, life: &UpstreamLife) {
         for job in 0..self.jobs.len() {
             let state = &mut self.jobs[job];
-            self.counts.add(WorkKind::ScanStep, state.units.len());
+            self.counts
+                .add(WorkKind::ScanStep, state.crashed_units.len());
             let mut any = false;
-            for unit in 0..state.units.len() {
+            for &unit in &state.crashed_units {
                 if state.units[unit].crashes.resolve(life) {
                     state.rows.mark_unit(unit);
                     any = true;
@@ -83,8 +83,8 @@
             incarnation,
         };
         for job in &mut self.jobs {
-            self.counts.add(WorkKind::ScanStep, job.units.len());
-            for unit in 0..job.units.len() {
+            self.counts.add(WorkKind::ScanStep, job.crashed_units.len());
+            for &unit in &job.crashed_units {
                 if job.units[unit].crashes.refute(&life) {
                     job.rows.mark_unit(unit);
                 }
@@ -94,7 +94,7 @@
 
     /// Resolves the losses that an earlier owner recorded, by the lives that are listed now.
     pub(super) fn resolve_restored_losses(&mut self, job: usize) {
-        for unit in 0..self.jobs[job].units.len() {
+        for unit in self.jobs[job].crashed_units.clone() {
             let crashes = &self.jobs[job].units[unit].crashes;
             let losses: Vec<LossRecord> = crashes.open_losses().cloned().collect();
             for loss in losses {
@@ -163,8 +163,10 @@
         if state.phase.is_over() {
             return;
         }
-        self.counts.add(WorkKind::ScanStep, state.units.len());
-        for (unit, unit_state) in state.units.iter().enumerate() {
+        self.counts
+            .add(WorkKind::ScanStep, state.crashed_units.len());
+        for &unit in &state.crashed_units {
+            let unit_state = &state.units[unit];
             if !unit_state.crashes.is_suspect() {
                 continue;
             }
--- a/src/work/owner/job_state.rs
+++ b/src/work/owner/job_state.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use crate::tables::name::ObjectName;
+use crate::work::model::crash_record::LossRecord;
 use crate::work::model::record::{JobPhase, JobRecord};
 use crate::work::model::spec::StepSpec;
 use crate::work::model::task_ref::TaskRef;
@@ -31,6 +32,8 @@
     pub orders_due: bool,
     /// Bias of the caller's estimate of each step.
     pub biases: Vec<StepBias>,
+    /// Units with lost runs in their history, and some that had them, sorted.
+    pub(super) crashed_units: Vec<usize>,
 }
 
 impl JobState {
@@ -52,9 +55,25 @@
             phase,
             recorded_phase: phase,
             orders_due: true,
+            crashed_units: Vec::new(),
         }
     }
 
+    /// Notes a lost run of a unit's member.
+    pub(super) fn add_loss(&mut self, unit: usize, member: usize, loss: LossRecord) {
+        if let Err(index) = self.crashed_units.binary_search(&unit) {
+            self.crashed_units.insert(index, unit);
+        }
+        self.units[unit].crashes.add_loss(member as u32, loss);
+    }
+
+    /// Finds the units with lost runs in their history, after the task state was restored.
+    pub(super) fn find_crashed_units(&mut self) {
+        let units = 0..self.units.len();
+        let crashed = units.filter(|&unit| !self.units[unit].crashes.rows().is_empty());
+        self.crashed_units = crashed.collect();
+    }
+
     /// Returns the step to which a unit belongs.
     pub fn step(&self, unit: usize) -> &StepSpec {
         &self.record.spec.steps[self.shapes[unit].step as usize]
--- a/src/work/owner/row_records.rs
+++ b/src/work/owner/row_records.rs
@@ -38,6 +38,7 @@
         for unit in self.units.iter_mut() {
             restore_phase(unit);
         }
+        self.find_crashed_units();
     }
 
     /// Returns the rows that have changed, to be stored in this order.
--- a/tests/event_cost.rs
+++ b/tests/event_cost.rs
@@ -12,6 +12,10 @@
 
 /// Upstreams of a small and of a large pool.
 const POOL_SIZES: [usize; 2] = [50, 1_100];
+/// Tasks of a small and of a large job.
+const JOB_SIZES: [u32; 2] = [20, 2_000];
+/// Upstreams of the pool that runs both.
+const JOB_POOL_SIZE: usize = 300;
 /// Steps that an event may cost more in a large pool or job, for the depth of searches.
 const SLACK_STEPS: u64 = 20;
 /// Time in which all jobs of a test are placed and confirmed, in ms.
@@ -56,6 +60,14 @@
     pool
 }
 
+/// A pool with one job of single tasks.
+fn pool_with_job(tasks: u32) -> AnsweringPool {
+    let mut pool = AnsweringPool::new(JOB_POOL_SIZE);
+    pool.submit("job", "plain", vec![step(tasks, 9_500, 1, false)]);
+    pool.run_for(PLACED_MS);
+    pool
+}
+
 /// An event, and the steps that it takes in a pool.
 struct EventCase {
     name: &'static str,
@@ -118,6 +130,24 @@
     }
 }
 
+#[test]
+fn an_upstream_that_answers_again_costs_the_same_beside_a_large_job() {
+    let [small, large] = JOB_SIZES.map(|tasks| {
+        let mut pool = pool_with_job(tasks);
+        let upstream = pool.busy()[0];
+        pool.hesitant = Some(upstream);
+        assert!(pool.miss(upstream), "an open renewal");
+        pool.run_for(300);
+        let before = steps(&pool, WorkKind::ScanStep);
+        assert!(pool.answer(upstream), "an open renewal");
+        steps(&pool, WorkKind::ScanStep) - before
+    });
+    assert!(
+        large <= small + SLACK_STEPS,
+        "{small} steps beside a small job, {large} beside a large one"
+    );
+}
+
 #[test]
 fn the_first_end_of_a_gang_costs_in_proportion_to_its_members() {
     let sizes: [u32; 2] = [8, 512];
