--- a/src/work/owner/put_off.rs
+++ b/src/work/owner/put_off.rs
@@ -29,6 +29,7 @@
         upstream.clock = Some(upstream.clock.map_or(reading, |old| old.later(reading)));
         upstream.renewing = false;
         upstream.next_renewal_ms = now_ms;
+        self.due.touch(index);
         metrics::counter!("hemlockramp_renewals_put_off_total").increment(1);
         true
     }
