Gather the running work of a pool once a placement round

Urgent units that do not fit held up the owner of a large pool: for each of them, all units of all jobs were gone through for those that might be displaced and those that end soon, waiting ones included; the upstreams with their names and labels were copied up to seven times, and the job of each task on them was looked up by its id each time; what each job holds was added up twice.

The tasks on a pool's upstreams, and what displacing or awaiting each running unit means, are gathered when the first unit does not fit, and serve the others of the round; a unit that is placed meanwhile is added. Claim ranks are kept until urgent work is placed. A search in other free capacity takes just these amounts in place of a copy of the upstreams.

--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -27,6 +27,7 @@
 mod restore;
 mod row_records;
 mod run_ends;
+mod running_work;
 mod speeds;
 pub mod start_gate;
 pub mod step_bias;
--- a/src/work/owner/placement_pool.rs
+++ b/src/work/owner/placement_pool.rs
@@ -2,6 +2,7 @@
 
 use crate::tables::name::ObjectName;
 use crate::work::model::amount::ResourceAmount;
+use crate::work::owner::running_work::RunningWork;
 use crate::work::placing::headroom::required_headroom;
 use crate::work::placing::placement::{CandidateUpstream, CapacityClaim, UnitDemand};
 
@@ -24,6 +25,8 @@
     pub(super) free: ResourceAmount,
     /// Capacity that urgent work holds in the pool.
     pub(super) urgent: ResourceAmount,
+    /// Work on the candidates, once it is needed.
+    pub(super) work: Option<RunningWork>,
 }
 
 impl PlacementPool {
@@ -38,6 +41,7 @@
             capacity: ResourceAmount::default(),
             free: ResourceAmount::default(),
             urgent,
+            work: None,
         }
     }
 
@@ -129,6 +133,24 @@
         candidate.free = free;
     }
 
+    /// Searches among the candidates as if each had this free capacity.
+    pub(super) fn search_with<T>(
+        &mut self,
+        free: &mut [ResourceAmount],
+        search: impl FnOnce(&[CandidateUpstream]) -> T,
+    ) -> T {
+        self.swap_free(free);
+        let found = search(&self.candidates);
+        self.swap_free(free);
+        found
+    }
+
+    fn swap_free(&mut self, free: &mut [ResourceAmount]) {
+        for (candidate, free) in self.candidates.iter_mut().zip(free) {
+            std::mem::swap(&mut candidate.free, free);
+        }
+    }
+
     /// Returns whether the headroom for urgent work remains after placing a unit of this priority.
     pub(super) fn leaves_headroom(&self, priority: u32, demand: &UnitDemand) -> bool {
         let taken = demand.need.times(demand.count as u64);
--- a/src/work/owner/placement_round.rs
+++ b/src/work/owner/placement_round.rs
@@ -3,7 +3,7 @@
 use crate::work::owner::PoolOwner;
 use crate::work::owner::placement_pass::{RoundBudget, StepId};
 use crate::work::owner::placement_pool::PlacementPool;
-use crate::work::owner::preemption::BlockedUnit;
+use crate::work::owner::preemption::{BlockedUnit, RoundClaims};
 use crate::work::owner::step_search::StepSearch;
 use crate::work::owner::waiting::WaitingStep;
 use crate::work::owner::work_counts::WorkKind;
@@ -18,8 +18,7 @@
     pools: Vec<PlacementPool>,
     /// Demands that could not be placed in this round; an equal demand fails too.
     unplaceable: Vec<UnitDemand>,
-    /// Units other than urgent ones with a reservation.
-    reserved: usize,
+    claims: RoundClaims,
     /// Guaranteed units for which capacity was searched.
     guaranteed: usize,
 }
@@ -66,7 +65,7 @@
             budget: RoundBudget::new(&self.counts),
             pools: Vec::new(),
             unplaceable: Vec::new(),
-            reserved: 0,
+            claims: RoundClaims::default(),
             guaranteed: 0,
         };
         for waiting_step in &waiting_steps {
@@ -184,6 +183,10 @@
         }
         if let Some(chosen) = search.place(&claim, pool, &self.counts) {
             self.assign(job, unit, pool, &chosen, search.demand());
+            self.add_work(job, unit, pool, &chosen);
+            if self.rule(job).priority == 0 {
+                round.claims.forget_ranks();
+            }
             search.note_placed(&claim, pool, &chosen);
             return UnitEnd::Placed;
         }
@@ -203,7 +206,7 @@
             estimate_ms: self.jobs[job].step(unit).estimate_ms,
         };
         round.guaranteed += usize::from(own_search);
-        self.reserve_or_preempt(&blocked, pool, &mut round.reserved);
+        self.reserve_or_preempt(&blocked, pool, &mut round.claims);
         UnitEnd::Blocks
     }
 }
--- a/src/work/owner/preemption.rs
+++ b/src/work/owner/preemption.rs
@@ -1,15 +1,16 @@
 //! Reservations and preemption for units that do not fit.
 
-use crate::tables::name::ObjectName;
-use crate::work::load::delay_cost::{RunningUnit, UnitOutlook};
+use crate::work::load::delay_cost::UnitOutlook;
 use crate::work::load::queue_order::WaitingUnit;
 use crate::work::load::room_choice::{RoomChoice, RoomOptions};
 use crate::work::load::victims::{VictimSearch, VictimUnit};
+use crate::work::model::amount::ResourceAmount;
 use crate::work::owner::PoolOwner;
 use crate::work::owner::placement_pool::PlacementPool;
+use crate::work::owner::running_work::UnitRow;
 use crate::work::owner::unit_state::UnitPhase;
 use crate::work::owner::work_counts::WorkKind;
-use crate::work::placing::placement::{CandidateUpstream, CapacityClaim, UnitDemand, place_unit};
+use crate::work::placing::placement::{CapacityClaim, UnitDemand, place_unit};
 
 /// The former module path; operators filter log lines by it.
 const LOG_TARGET: &str = "hemlockramp::work::owner::make_room";
@@ -32,6 +33,22 @@
     pub(super) estimate_ms: u64,
 }
 
+/// What is known in a placement round of the claims to capacity.
+#[derive(Default)]
+pub(super) struct RoundClaims {
+    /// Units other than urgent ones with a reservation.
+    reserved: usize,
+    /// Claim rank of each job's running work, once it is needed.
+    ranks: Option<Vec<u32>>,
+}
+
+impl RoundClaims {
+    /// Forgets the ranks, since urgent work was placed.
+    pub(super) fn forget_ranks(&mut self) {
+        self.ranks = None;
+    }
+}
+
 /// A preemptible unit and where to find it.
 struct RunningVictim {
     victim: VictimUnit,
@@ -46,7 +63,7 @@
         &mut self,
         blocked: &BlockedUnit,
         pool: &mut PlacementPool,
-        reserved: &mut usize,
+        claims: &mut RoundClaims,
     ) {
         let waiting = blocked.waiting;
         let urgent = waiting.priority == 0;
@@ -54,18 +71,19 @@
         // expires.
         let already_reserved = pool.reserved_claims().any(|claim| *claim == blocked.claim);
         if already_reserved {
-            *reserved += usize::from(!urgent);
+            claims.reserved += usize::from(!urgent);
             return;
         }
         if !urgent {
-            if waiting.slack_ms < 0 || waiting.expired || *reserved >= RESERVED_UNITS_MAX {
+            if waiting.slack_ms < 0 || waiting.expired || claims.reserved >= RESERVED_UNITS_MAX {
                 return;
             }
-            *reserved += 1;
+            claims.reserved += 1;
         }
         // Capacity freed by stops in progress may be enough.
-        let after_stops = self.upstreams_after_stops(pool);
-        if let Some(chosen) = self.find_room(blocked, pool, &after_stops) {
+        self.gather_work(pool);
+        let mut after_stops = self.free_after_stops(pool);
+        if let Some(chosen) = self.find_room(blocked, pool, &mut after_stops) {
             self.reserve(blocked, pool, &chosen);
             return;
         }
@@ -73,11 +91,15 @@
             true => waiting.guaranteed || waiting.slack_ms >= 0,
             false => waiting.slack_ms < PREEMPTION_SLACK_MS,
         };
-        if may_preempt && self.preempt_or_wait(blocked, pool, &after_stops) {
-            return;
+        let ranks = claims.ranks.get_or_insert_with(|| self.running_ranks());
+        if may_preempt {
+            let running = self.running_victims(blocked, pool, ranks);
+            if self.preempt_or_wait(blocked, pool, &running, &mut after_stops) {
+                return;
+            }
         }
-        let without_weaker = self.upstreams_without_weaker(blocked.claim.rank, pool);
-        if let Some(chosen) = self.find_room(blocked, pool, &without_weaker) {
+        let mut without_weaker = self.free_without_weaker(blocked.claim.rank, pool, ranks);
+        if let Some(chosen) = self.find_room(blocked, pool, &mut without_weaker) {
             self.reserve(blocked, pool, &chosen);
         }
     }
@@ -88,13 +110,16 @@
         &mut self,
         blocked: &BlockedUnit,
         pool: &mut PlacementPool,
-        after_stops: &[CandidateUpstream],
+        running: &[RunningVictim],
+        after_stops: &mut [ResourceAmount],
     ) -> bool {
-        let running = self.running_victims(blocked, pool);
         let victims: Vec<&VictimUnit> = running.iter().map(|one| &one.victim).collect();
-        let search = VictimSearch::new(blocked.demand, &blocked.claim, after_stops, &victims);
-        let chosen = search.choose();
-        self.counts.add(WorkKind::SearchStep, search.steps());
+        let chosen = pool.search_with(after_stops, |candidates| {
+            let search = VictimSearch::new(blocked.demand, &blocked.claim, candidates, &victims);
+            let chosen = search.choose();
+            self.counts.add(WorkKind::SearchStep, search.steps());
+            chosen
+        });
         let Some(chosen) = chosen else {
             // It is tried again in the next round: a reservation would hold that up.
             return true;
@@ -112,7 +137,7 @@
             stop_ms: self.timing.stop_ms,
         };
         if options.choose() == RoomChoice::Displace {
-            self.preempt(blocked, pool, &running, &chosen);
+            self.preempt(blocked, pool, running, &chosen);
             return true;
         }
         self.log_choice(blocked, &options);
@@ -158,58 +183,63 @@
             self.jobs[*job].units[*unit].preempted += 1;
             self.stop_unit(*job, *unit);
         }
-        let after_stops = self.upstreams_after_stops(pool);
-        if let Some(chosen) = self.find_room(blocked, pool, &after_stops) {
+        let mut after_stops = self.free_after_stops(pool);
+        if let Some(chosen) = self.find_room(blocked, pool, &mut after_stops) {
             self.reserve(blocked, pool, &chosen);
         }
     }
 
-    /// Chooses candidates for the unit, given the pool's candidates as they would be.
+    /// Chooses candidates for the unit as if each had this free capacity.
     pub(super) fn find_room(
         &self,
         blocked: &BlockedUnit,
-        pool: &PlacementPool,
-        candidates: &[CandidateUpstream],
+        pool: &mut PlacementPool,
+        free: &mut [ResourceAmount],
     ) -> Option<Vec<usize>> {
         let steps = pool.search_steps(blocked.demand);
         self.counts.add(WorkKind::SearchStep, steps);
-        place_unit(blocked.demand, &blocked.claim, candidates)
+        pool.search_with(free, |candidates| {
+            place_unit(blocked.demand, &blocked.claim, candidates)
+        })
     }
 
-    /// Returns the candidates as they will be once all stops in progress are complete.
-    fn upstreams_after_stops(&self, pool: &PlacementPool) -> Vec<CandidateUpstream> {
-        self.upstreams_without(pool, |job, unit| {
+    /// Returns the free capacity of each candidate once all stops in progress are complete.
+    fn free_after_stops(&self, pool: &PlacementPool) -> Vec<ResourceAmount> {
+        self.free_without(pool, |job, unit| {
             self.jobs[job].units[unit].phase == UnitPhase::Stopping
         })
     }
 
-    /// Returns the candidates as they would be without work of weaker claims.
-    fn upstreams_without_weaker(&self, rank: u32, pool: &PlacementPool) -> Vec<CandidateUpstream> {
-        let ranks = self.running_ranks();
-        self.upstreams_without(pool, |job, unit| {
+    /// Returns the free capacity of each candidate without work of weaker claims.
+    fn free_without_weaker(
+        &self,
+        rank: u32,
+        pool: &PlacementPool,
+        ranks: &[u32],
+    ) -> Vec<ResourceAmount> {
+        self.free_without(pool, |job, unit| {
             let lasting = self.jobs[job].step(unit).lasting;
             !lasting && ranks[job] > rank
         })
     }
 
-    pub(super) fn upstreams_without(
+    /// Returns the free capacity of each candidate without the units that are removed. The work of the
+    /// pool must be known.
+    pub(super) fn free_without(
         &self,
         pool: &PlacementPool,
         is_removed: impl Fn(usize, usize) -> bool,
-    ) -> Vec<CandidateUpstream> {
-        let mut candidates = pool.candidates.clone();
-        self.counts.add(WorkKind::SearchStep, candidates.len());
-        for (candidate, &index) in candidates.iter_mut().zip(&pool.upstream_indexes) {
-            let held = self.upstreams[index].held.len();
-            self.counts.add(WorkKind::SearchStep, held);
-            for held in &self.upstreams[index].held {
-                let job = self.job_index(&held.job);
-                if job.is_some_and(|job| is_removed(job, held.unit)) {
-                    candidate.free = candidate.free.plus(&held.need);
-                }
+    ) -> Vec<ResourceAmount> {
+        let mut free: Vec<ResourceAmount> = pool.candidates.iter().map(|one| one.free).collect();
+        let tasks = pool.work.as_ref().map_or(&[][..], |work| &work.tasks);
+        self.counts
+            .add(WorkKind::SearchStep, free.len() + tasks.len());
+        for task in tasks {
+            if is_removed(task.job, task.unit) {
+                free[task.candidate] = free[task.candidate].plus(&task.need);
             }
         }
-        candidates
+        free
     }
 
     fn reserve(&mut self, blocked: &BlockedUnit, pool: &mut PlacementPool, chosen: &[usize]) {
@@ -222,74 +252,31 @@
         }
     }
 
-    /// Returns the running units in the pool whose claims are weaker than the unit's.
-    fn running_victims(&self, blocked: &BlockedUnit, pool: &PlacementPool) -> Vec<RunningVictim> {
-        let rank = blocked.claim.rank;
-        let away_ms = self.timing.stop_ms + blocked.estimate_ms;
-        let ranks = self.running_ranks();
-        let mut victims = Vec::new();
-        for (victim_job, state) in self.jobs.iter().enumerate() {
-            if ranks[victim_job] <= rank {
-                continue;
-            }
-            self.counts.add(WorkKind::SearchStep, state.units.len());
-            for unit in 0..state.units.len() {
-                let preemptible = state.units[unit].phase == UnitPhase::Active;
-                if preemptible && !state.step(unit).lasting {
-                    let rank = ranks[victim_job];
-                    victims.extend(self.running_victim(victim_job, unit, rank, away_ms, pool));
-                }
-            }
-        }
-        victims
-    }
-
-    fn running_victim(
+    /// Returns the running units in the pool whose claims are weaker than the unit's. The work of the
+    /// pool must be known.
+    fn running_victims(
         &self,
-        job: usize,
-        unit: usize,
-        rank: u32,
-        away_ms: u64,
+        blocked: &BlockedUnit,
         pool: &PlacementPool,
-    ) -> Option<RunningVictim> {
-        let state = &self.jobs[job];
-        let step = state.step(unit);
-        let members = state.units[unit].members.len();
-        self.counts.add(WorkKind::SearchStep, members);
-        let position = |name: &ObjectName| {
-            // Upstreams and candidates are both sorted by name.
-            pool.candidates
-                .binary_search_by(|candidate| candidate.name.cmp(name))
-                .ok()
-        };
-        let upstreams: Vec<usize> = state.units[unit]
-            .members
-            .iter()
-            .filter_map(|member| position(member.upstream.as_ref()?))
-            .collect();
-        if upstreams.is_empty() {
-            return None;
-        }
-        let step_index = state.shapes[unit].step as usize;
-        let path_ms = state.record.spec.path_from_ms(step_index);
-        let after_ms = path_ms.saturating_sub(step.estimate_ms);
-        let needed_ms = self.run_left_ms(job, unit) + after_ms;
-        let running = RunningUnit {
-            outlook: self.unit_outlook(job, unit, needed_ms),
-            worked_ms: self.worked_ms(job, unit),
-            checkpoints: step.checkpoints,
-            rate_milli: step.need.weight_milli() * upstreams.len() as u64,
-            displaced: state.units[unit].preempted,
+        ranks: &[u32],
+    ) -> Vec<RunningVictim> {
+        let away_ms = self.timing.stop_ms + blocked.estimate_ms;
+        let units = pool.work.as_ref().map_or(&[][..], |work| &work.units);
+        self.counts.add(WorkKind::SearchStep, units.len());
+        let is_victim = |row: &&UnitRow| {
+            let phase = self.jobs[row.job].units[row.unit].phase;
+            ranks[row.job] > blocked.claim.rank && phase == UnitPhase::Active
         };
-        Some(RunningVictim {
+        let victim = |row: &UnitRow| RunningVictim {
             victim: VictimUnit {
-                upstreams,
-                need: step.need,
-                lost_work: running.displacement_cost(away_ms),
-                rank,
+                upstreams: row.candidates.clone(),
+                need: row.need,
+                lost_work: row.running.displacement_cost(away_ms),
+                rank: ranks[row.job],
             },
-            job,
-            unit,
-        })
+            job: row.job,
+            unit: row.unit,
+        };
+        units.iter().filter(is_victim).map(victim).collect()
     }
 }
--- a/src/work/owner/run_ends.rs
+++ b/src/work/owner/run_ends.rs
@@ -5,7 +5,6 @@
 use crate::work::owner::placement_pool::PlacementPool;
 use crate::work::owner::preemption::BlockedUnit;
 use crate::work::owner::unit_state::{MemberState, UnitPhase};
-use crate::work::owner::work_counts::WorkKind;
 use crate::work::placing::remaining::remaining_ms;
 use crate::work::placing::slowdown::{TaskProgress, UpstreamSlowdown};
 
@@ -13,13 +12,6 @@
 /// not expected any moment for ever.
 const OVERDUE_DIVISOR: u64 = 10;
 
-/// A run that is expected to end by itself.
-struct ExpectedEnd {
-    job: usize,
-    unit: usize,
-    after_ms: u64,
-}
-
 /// Room that runs leave when they end by themselves.
 pub(super) struct EndingRoom {
     /// Time until it is free, in ms.
@@ -30,53 +22,28 @@
 
 impl PoolOwner {
     /// Returns the room that runs leave for the unit when they end by themselves, if they do so in
-    /// time.
+    /// time. The work of the pool must be known.
     pub(super) fn next_ends(
         &self,
         blocked: &BlockedUnit,
-        pool: &PlacementPool,
+        pool: &mut PlacementPool,
     ) -> Option<EndingRoom> {
         if blocked.waiting.guaranteed {
             return None;
         }
-        let slack_ms = blocked.waiting.slack_ms;
-        let ends = self.expected_ends(slack_ms.max(self.timing.stop_ms as i64));
-        let mut horizons = wait_horizons(slack_ms, self.timing.stop_ms);
+        let mut horizons = wait_horizons(blocked.waiting.slack_ms, self.timing.stop_ms);
         horizons.find_map(|after_ms| {
-            let candidates = self.upstreams_without(pool, |job, unit| {
-                let state = &self.jobs[job].units[unit];
-                state.phase == UnitPhase::Stopping
-                    || ends
-                        .binary_search_by_key(&(job, unit), |end| (end.job, end.unit))
-                        .is_ok_and(|index| ends[index].after_ms <= after_ms)
+            let mut free = self.free_without(pool, |job, unit| {
+                let phase = self.jobs[job].units[unit].phase;
+                let row = pool.work.as_ref().and_then(|work| work.unit(job, unit));
+                phase == UnitPhase::Stopping
+                    || phase == UnitPhase::Active && row.is_some_and(|row| row.left_ms <= after_ms)
             });
-            let chosen = self.find_room(blocked, pool, &candidates)?;
+            let chosen = self.find_room(blocked, pool, &mut free)?;
             Some(EndingRoom { after_ms, chosen })
         })
     }
 
-    /// Returns the runs that are expected to end within a time, sorted by job and unit.
-    fn expected_ends(&self, within_ms: i64) -> Vec<ExpectedEnd> {
-        let mut ends = Vec::new();
-        for (job, state) in self.jobs.iter().enumerate() {
-            self.counts.add(WorkKind::SearchStep, state.units.len());
-            for unit in 0..state.units.len() {
-                if state.units[unit].phase != UnitPhase::Active || state.step(unit).lasting {
-                    continue;
-                }
-                let after_ms = self.run_left_ms(job, unit);
-                if i64::try_from(after_ms).is_ok_and(|after| after <= within_ms) {
-                    ends.push(ExpectedEnd {
-                        job,
-                        unit,
-                        after_ms,
-                    });
-                }
-            }
-        }
-        ends
-    }
-
     /// Returns how long a unit's run has been at work, in ms.
     pub(super) fn worked_ms(&self, job: usize, unit: usize) -> u64 {
         let run = &self.jobs[job].units[unit];
--- a/tests/placement_cost.rs
+++ b/tests/placement_cost.rs
@@ -358,3 +358,29 @@
         );
     }
 }
+
+/// Returns the work of a round in which so many urgent units do not fit, on a full pool for which the
+/// widest job waits.
+fn run_blocked_round(blocked: u64) -> RoundWork {
+    let mut pool = pool(50);
+    pool.submit("full", "batch", vec![step(400, 60_000, 1, false)]);
+    pool.run_for(300);
+    assert_eq!(placed_tasks(&pool, "full"), 400);
+    pool.submit("wide", "batch", vec![step(WIDEST_STEP, 60_000, 1, false)]);
+    for index in 0..blocked {
+        let mut urgent = step(1, 10_000, 1, false);
+        urgent.need.cpu_milli += index;
+        pool.submit_as("other", &format!("urgent{index}"), "urgent", vec![urgent]);
+    }
+    run_round(&mut pool)
+}
+
+/// Guards against a silent owner: each unit that did not fit went through all units of all jobs, those
+/// that wait included, up to four times.
+#[test]
+fn units_that_do_not_fit_share_what_is_known_of_running_work() {
+    let (few, many) = (run_blocked_round(2), run_blocked_round(8));
+    let for_each = (many.search_steps - few.search_steps) / 6;
+    // Ten times through 50 upstreams with 400 tasks.
+    assert!(for_each <= 4_500, "{for_each} steps for each unit");
+}
