Blame upstreams for failed runs unless the step itself is suspect

Callers on a pool of 1,100 upstreams, of which 8% failed all that they were given for some seconds, saw gang after gang fail there.

Cause: a step that failed on n upstreams counted 1/n against each, so upstreams that were all broken were taken for sound; each end lifted exclusions by the new score.

Change: a step's failures count in full unless the step is suspect (a quarter of it has failed, nothing of it is done, and most of its upstreams are sound otherwise) and nothing else speaks against the upstream. New upstreams aren't sound until they have completed a run.

--- a/src/work/owner/ends.rs
+++ b/src/work/owner/ends.rs
@@ -6,6 +6,7 @@
 use crate::work::model::record::JobPhase;
 use crate::work::model::upstream::{EndKind, EndedTask};
 use crate::work::owner::PoolOwner;
+use crate::work::owner::failure_ledger::FailedRun;
 use crate::work::owner::renewals::UNRECORDED_RENEW_PAUSE_MS;
 use crate::work::owner::step_failures::StepRef;
 use crate::work::owner::unit_state::UnitPhase;
@@ -13,8 +14,6 @@
 
 /// The former module path; operators filter log lines by it.
 const LOG_TARGET: &str = "hemlockramp::work::owner::replies";
-/// How long an upstream is excluded after failed runs, in ms.
-const EXCLUSION_MS: u64 = 8_000;
 
 impl PoolOwner {
     /// Handles the ends that an answer lists for the first time.
@@ -108,9 +107,10 @@
     }
 
     fn on_done(&mut self, job: usize, unit: usize, name: &ObjectName) {
+        self.note_proven(name);
         if !self.failures.is_empty() {
-            let key = self.step_ref(job, unit);
-            self.failures.add_success(&key, name);
+            let step = self.step_ref(job, unit);
+            self.failures.add_success(&step, name);
             self.apply_blame();
         }
         self.complete_unit(job, unit);
@@ -124,22 +124,56 @@
         self.placement_due = true;
     }
 
-    /// Brings the failure scores up to date where evidence has changed. An upstream that turns out not
-    /// to be to blame is no longer excluded.
+    fn note_proven(&mut self, name: &ObjectName) {
+        if let Some(index) = self.upstream_index(name) {
+            let was_proven = std::mem::replace(&mut self.upstreams[index].is_proven, true);
+            self.proven_upstreams += usize::from(!was_proven);
+        }
+    }
+
+    /// Brings the blame of upstreams up to date where evidence has changed.
     pub(super) fn apply_blame(&mut self) {
         if self.failures.is_empty() {
             return;
         }
-        for name in self.failures.take_changes(self.now.steady_ms) {
-            let score = self.failures.score(&name);
+        let now_ms = self.now.steady_ms;
+        for name in self.failures.take_changes(now_ms) {
+            let blame = self.failures.blame(&name);
             if let Some(index) = self.upstream_index(&name) {
-                self.upstreams[index].set_failure_score(score);
+                self.upstreams[index].set_blame(blame, now_ms);
             }
         }
         let rows = self.failures.take_rows_read();
         self.counts.add(WorkKind::BlameStep, rows);
     }
 
+    fn note_failure(&mut self, job: usize, unit: usize, name: &ObjectName) {
+        let step = self.step_ref(job, unit);
+        let is_step_done = !self.failures.knows_step(&step) && self.is_step_done(job, unit);
+        let is_known_well = self.proven_upstreams * 2 > self.upstreams.len();
+        let upstream = self
+            .upstream_index(name)
+            .map(|index| &self.upstreams[index]);
+        let is_proven = upstream.is_some_and(|upstream| upstream.is_proven);
+        self.failures.add_failure(FailedRun {
+            step: &step,
+            upstream: name,
+            tasks: self.jobs[job].step(unit).count,
+            is_step_done,
+            is_upstream_proven: is_proven || !is_known_well,
+            now_ms: self.now.steady_ms,
+        });
+        self.apply_blame();
+    }
+
+    /// Returns whether a task of the unit's step is done.
+    fn is_step_done(&self, job: usize, unit: usize) -> bool {
+        let state = &self.jobs[job];
+        let step = state.shapes[unit].step;
+        let mut units = state.shapes.iter().zip(&state.units);
+        units.any(|(shape, unit)| shape.step == step && unit.phase == UnitPhase::Done)
+    }
+
     fn step_ref(&self, job: usize, unit: usize) -> StepRef {
         let state = &self.jobs[job];
         StepRef {
@@ -149,13 +183,7 @@
     }
 
     fn on_failed(&mut self, job: usize, unit: usize, name: &ObjectName) {
-        let now_ms = self.now.steady_ms;
-        let key = self.step_ref(job, unit);
-        self.failures.add_failure(&key, name, now_ms);
-        self.apply_blame();
-        if let Some(index) = self.upstream_index(name) {
-            self.upstreams[index].exclude_if_failing(now_ms + EXCLUSION_MS);
-        }
+        self.note_failure(job, unit, name);
         let attempts_max = self.rule(job).attempts_max;
         let lasting = self.jobs[job].step(unit).lasting;
         let state = &mut self.jobs[job].units[unit];
--- a/src/work/owner/failure_ledger.rs
+++ b/src/work/owner/failure_ledger.rs
@@ -1,9 +1,9 @@
 //! Whether failed runs speak against their work or against their upstreams.
 //!
-//! A hopeless job fails wherever it runs, and a broken upstream fails whatever runs there. Each failure
-//! is evidence against both. A step that fails on several upstreams, and has no task that was done,
-//! counts little against each of them; an upstream on which several steps fail, or one that has tasks
-//! done elsewhere, is likely to be at fault.
+//! A hopeless step fails wherever it runs, and a broken upstream fails whatever runs there. A step's
+//! failures count in full against an upstream unless the step itself is suspect (much of it has failed,
+//! nothing of it is done, and most of its upstreams serve others) and nothing else speaks against the
+//! upstream.
 //!
 //! Failures are found by step and by upstream, and each call reads a bounded number of them, however
 //! large the pool is. What a call leaves over is done by the next ones.
@@ -11,13 +11,17 @@
 use std::collections::VecDeque;
 
 use crate::tables::name::ObjectName;
-use crate::work::owner::step_failures::{StepFailures, StepRef};
-use crate::work::owner::upstream_failures::UpstreamFailures;
+use crate::work::owner::failure_standing::FailureStanding;
+use crate::work::owner::step_failures::{StepFailures, StepRef, StepSuspicion};
+use crate::work::owner::upstream_failures::{FailedStep, UpstreamFailures};
 
 /// Failure score at which an upstream is excluded.
 pub const EXCLUSION_SCORE: f64 = 2.0;
 /// Most failures of one step that count against one upstream.
 const STEP_FAILURES_MAX: f64 = EXCLUSION_SCORE;
+/// Most failures of all suspect steps together that count against one sound upstream: it is avoided while
+/// others have room, and not excluded.
+const SUSPECT_FAILURES_MAX: f64 = 1.0;
 /// Time after its last failure for which a step's failures on an upstream count, in ms.
 const MEMORY_MS: u64 = 60_000;
 /// Most pairs of a step and an upstream that are kept; the oldest are dropped first.
@@ -30,7 +34,7 @@
 /// A step's failures on an upstream, to be looked at for their age.
 #[derive(Clone, Debug)]
 struct AgingPair {
-    key: StepRef,
+    step: StepRef,
     upstream: ObjectName,
     /// When the first run failed, steady ms; tells a pair from an earlier one of the same names.
     first_ms: u64,
@@ -38,6 +42,35 @@
     due_ms: u64,
 }
 
+/// A failed run, and what is known of its step and its upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedRun<'a> {
+    /// Step of the run.
+    pub step: &'a StepRef,
+    /// Upstream of the run.
+    pub upstream: &'a ObjectName,
+    /// Number of tasks of the step.
+    pub tasks: u32,
+    /// Whether a task of the step is done. Only asked of a step without failures.
+    pub is_step_done: bool,
+    /// Whether the upstream is known to complete runs, or as little is known of most others. Only
+    /// asked of an upstream without failures.
+    pub is_upstream_proven: bool,
+    /// When it failed, steady ms.
+    pub now_ms: u64,
+}
+
+/// How far an upstream is to blame for the runs that failed there.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct UpstreamBlame {
+    /// Failed runs for which it is to blame.
+    pub score: f64,
+    /// When the last run failed there, steady ms; 0 for never.
+    pub last_ms: u64,
+    /// Whether the work is to blame for some failures there instead.
+    pub is_exonerated: bool,
+}
+
 /// Recent failures, by step and by upstream.
 #[derive(Clone, Debug, Default)]
 pub struct FailureLedger {
@@ -54,29 +87,22 @@
 }
 
 impl FailureLedger {
-    /// Notes that a run of a step has failed on an upstream.
-    pub fn add_failure(&mut self, key: &StepRef, upstream: &ObjectName, now_ms: u64) {
-        let row = self.upstream_row(upstream);
-        let is_first = row.add_failure(key, now_ms);
-        if is_first {
-            self.step_row(key).add_upstream(upstream);
-            self.aging.push_back(AgingPair {
-                key: key.clone(),
-                upstream: upstream.clone(),
-                first_ms: now_ms,
-                due_ms: now_ms + MEMORY_MS,
-            });
-            self.drop_excess(upstream);
-            self.queue_step(key);
+    /// Notes that a run has failed.
+    pub fn add_failure(&mut self, run: FailedRun) {
+        let FailedRun { step, upstream, .. } = run;
+        self.step_row(run).add_failure();
+        if self.upstream_row(run).add_failure(step, run.now_ms) {
+            self.add_pair(run);
         }
+        self.review_step(step);
         self.changed_upstreams.push(upstream.clone());
     }
 
     /// Notes that an upstream has completed a run of a step.
-    pub fn add_success(&mut self, key: &StepRef, upstream: &ObjectName) {
-        if let Some(index) = self.find_step(key) {
+    pub fn add_success(&mut self, step: &StepRef, upstream: &ObjectName) {
+        if let Some(index) = self.find_step(step) {
             self.steps[index].add_done();
-            self.queue_step(key);
+            self.review_step(step);
         }
         if let Some(index) = self.find_upstream(upstream) {
             self.rows_read += self.upstreams[index].steps().len();
@@ -101,24 +127,35 @@
                 self.changed_steps.push_back(key);
             }
         }
-        self.rows_read += changes.len();
+        for upstream in &changes {
+            self.review_upstream(upstream);
+        }
         changes
     }
 
-    /// Returns the failures for which an upstream is to blame.
-    pub fn score(&mut self, upstream: &ObjectName) -> f64 {
+    /// Returns how far an upstream is to blame.
+    pub fn blame(&mut self, upstream: &ObjectName) -> UpstreamBlame {
+        let mut blame = UpstreamBlame::default();
         let Some(index) = self.find_upstream(upstream) else {
-            return 0.0;
+            return blame;
         };
-        let mut score = 0.0;
-        let failed = self.upstreams[index].steps().len();
-        self.rows_read += 2 * failed;
-        for step in self.upstreams[index].steps() {
-            let found = self.steps.binary_search_by(|row| row.key.cmp(&step.key));
-            let share = found.map_or(0.0, |index| self.steps[index].upstream_share());
-            score += step.count.min(STEP_FAILURES_MAX) * share;
+        let suspects = self.suspicions(index, |suspicion| suspicion.is_suspect);
+        let mut exonerated = 0.0;
+        for (step, is_suspect) in self.upstreams[index].steps().iter().zip(suspects) {
+            match is_suspect && step.standing == FailureStanding::Sound {
+                true => exonerated += step.count,
+                false => blame.score += step.count.min(STEP_FAILURES_MAX),
+            }
+            blame.last_ms = blame.last_ms.max(step.last_ms);
         }
-        score
+        blame.score += f64::min(exonerated, SUSPECT_FAILURES_MAX);
+        blame.is_exonerated = exonerated > 0.0;
+        blame
+    }
+
+    /// Returns whether a step has recent failures.
+    pub fn knows_step(&self, step: &StepRef) -> bool {
+        self.steps.binary_search_by(|row| row.key.cmp(step)).is_ok()
     }
 
     /// Returns whether there are no failures.
@@ -131,6 +168,65 @@
         std::mem::take(&mut self.rows_read)
     }
 
+    fn add_pair(&mut self, run: FailedRun) {
+        let FailedRun { step, upstream, .. } = run;
+        self.step_row(run)
+            .add_upstream(upstream, FailureStanding::Sound);
+        self.aging.push_back(AgingPair {
+            step: step.clone(),
+            upstream: upstream.clone(),
+            first_ms: run.now_ms,
+            due_ms: run.now_ms + MEMORY_MS,
+        });
+        self.drop_excess(upstream);
+    }
+
+    /// Brings the standing of an upstream's failures up to date.
+    fn review_upstream(&mut self, name: &ObjectName) {
+        let Some(index) = self.find_upstream(name) else {
+            return;
+        };
+        let fails_widely = self.suspicions(index, |suspicion| suspicion.fails_widely);
+        for step in 0..fails_widely.len() {
+            let row = &mut self.upstreams[index];
+            let standing = row.standing(step, &fails_widely);
+            let before = row.set_standing(step, standing);
+            if before != standing {
+                let key = row.steps()[step].key.clone();
+                self.change_standing(&key, before, standing);
+            }
+        }
+    }
+
+    fn change_standing(&mut self, step: &StepRef, old: FailureStanding, new: FailureStanding) {
+        if let Some(index) = self.find_step(step) {
+            self.steps[index].change_standing(old, new);
+            self.review_step(step);
+        }
+    }
+
+    /// Queues the upstreams of a step to be scored anew if what is thought of it has changed.
+    fn review_step(&mut self, step: &StepRef) {
+        let Some(index) = self.find_step(step) else {
+            return;
+        };
+        let row = &mut self.steps[index];
+        if row.take_change() && row.queue_upstreams() {
+            self.changed_steps.push_back(step.clone());
+        }
+    }
+
+    /// Returns what is thought of each step that failed on an upstream.
+    fn suspicions(&mut self, index: usize, part: impl Fn(StepSuspicion) -> bool) -> Vec<bool> {
+        let failed = self.upstreams[index].steps();
+        self.rows_read += 2 * failed.len();
+        let thought = |step: &FailedStep| {
+            let found = self.steps.binary_search_by(|row| row.key.cmp(&step.key));
+            found.is_ok_and(|index| part(self.steps[index].suspicion()))
+        };
+        failed.iter().map(thought).collect()
+    }
+
     fn drop_old(&mut self, now_ms: u64) {
         for _ in 0..AGED_PER_CALL {
             let is_full = self.aging.len() > PAIRS_MAX;
@@ -150,14 +246,14 @@
                 self.aging.push_back(pair);
                 continue;
             }
-            self.remove_pair(&pair.key, &pair.upstream);
+            self.remove_pair(&pair.step, &pair.upstream);
         }
     }
 
     /// Returns when the pair's last run failed; `None` if it is gone.
     fn last_failure_ms(&mut self, pair: &AgingPair) -> Option<u64> {
         let index = self.find_upstream(&pair.upstream)?;
-        let step = self.upstreams[index].step(&pair.key)?;
+        let step = self.upstreams[index].step(&pair.step)?;
         (step.first_ms == pair.first_ms).then_some(step.last_ms)
     }
 
@@ -171,46 +267,45 @@
         }
     }
 
-    fn remove_pair(&mut self, key: &StepRef, upstream: &ObjectName) {
-        if let Some(index) = self.find_upstream(upstream) {
-            self.upstreams[index].remove_step(key);
-            if self.upstreams[index].steps().is_empty() {
-                self.upstreams.remove(index);
-            }
-        }
-        if let Some(index) = self.find_step(key) {
-            self.steps[index].remove_upstream(upstream);
-            match self.steps[index].is_empty() {
-                true => drop(self.steps.remove(index)),
-                false => self.queue_step(key),
-            }
+    fn remove_pair(&mut self, step: &StepRef, upstream: &ObjectName) {
+        let Some(index) = self.find_upstream(upstream) else {
+            return;
+        };
+        let Some(removed) = self.upstreams[index].remove_step(step) else {
+            return;
+        };
+        if self.upstreams[index].steps().is_empty() {
+            self.upstreams.remove(index);
         }
         self.changed_upstreams.push(upstream.clone());
-    }
-
-    /// Queues the upstreams of a step to be scored anew.
-    fn queue_step(&mut self, key: &StepRef) {
-        if self.step_row(key).queue_upstreams() {
-            self.changed_steps.push_back(key.clone());
+        let Some(index) = self.find_step(step) else {
+            return;
+        };
+        self.steps[index].remove_upstream(upstream, removed.standing);
+        match self.steps[index].is_empty() {
+            true => drop(self.steps.remove(index)),
+            false => self.review_step(step),
         }
     }
 
-    fn upstream_row(&mut self, name: &ObjectName) -> &mut UpstreamFailures {
+    fn upstream_row(&mut self, run: FailedRun) -> &mut UpstreamFailures {
         self.rows_read += 1;
+        let name = run.upstream;
         let found = self.upstreams.binary_search_by(|row| row.name.cmp(name));
         let index = found.unwrap_or_else(|index| {
-            self.upstreams
-                .insert(index, UpstreamFailures::new(name.clone()));
+            let row = UpstreamFailures::new(name.clone(), run.is_upstream_proven);
+            self.upstreams.insert(index, row);
             index
         });
         &mut self.upstreams[index]
     }
 
-    fn step_row(&mut self, key: &StepRef) -> &mut StepFailures {
+    fn step_row(&mut self, run: FailedRun) -> &mut StepFailures {
         self.rows_read += 1;
-        let found = self.steps.binary_search_by(|row| row.key.cmp(key));
+        let found = self.steps.binary_search_by(|row| row.key.cmp(run.step));
         let index = found.unwrap_or_else(|index| {
-            self.steps.insert(index, StepFailures::new(key.clone()));
+            let row = StepFailures::new(run.step.clone(), run.tasks, run.is_step_done);
+            self.steps.insert(index, row);
             index
         });
         &mut self.steps[index]
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -10,6 +10,7 @@
 mod departures;
 mod ends;
 pub mod failure_ledger;
+pub mod failure_standing;
 mod fencing;
 pub mod job_state;
 mod loss_proof;
@@ -89,6 +90,8 @@
     jobs: Vec<JobState>,
     upstreams: Vec<UpstreamState>,
     failures: FailureLedger,
+    /// Number of upstreams that have completed a run in this term.
+    proven_upstreams: usize,
     pending_starts: VecDeque<PendingStart>,
     ready: Vec<UpstreamOrder>,
     batch: u64,
@@ -132,6 +135,7 @@
             jobs: Vec::new(),
             upstreams: Vec::new(),
             failures: FailureLedger::default(),
+            proven_upstreams: 0,
             pending_starts: VecDeque::new(),
             ready: Vec::new(),
             batch: 1,
--- a/src/work/owner/upstream_state.rs
+++ b/src/work/owner/upstream_state.rs
@@ -9,7 +9,7 @@
 use crate::work::model::evacuation::EvacuatedDomains;
 use crate::work::model::upstream::{OrderTarget, UpstreamReport};
 use crate::work::owner::OwnerTiming;
-use crate::work::owner::failure_ledger::EXCLUSION_SCORE;
+use crate::work::owner::failure_ledger::{EXCLUSION_SCORE, UpstreamBlame};
 use crate::work::owner::start_gate::{StartConditions, StartStage, StartVerdict, start_verdict};
 use crate::work::placing::placement::CapacityClaim;
 
@@ -18,6 +18,8 @@
 /// How old the last answer of an upstream may be when its ends are acknowledged, in ms. No run can
 /// start on a newer incarnation and end there within this time.
 const ACK_ANSWER_AGE_MAX_MS: u64 = 250;
+/// How long an upstream is excluded after failed runs, in ms.
+const EXCLUSION_MS: u64 = 8_000;
 /// Low bits of a fencing token; they count an upstream's restarts within a term.
 const RESTART_BITS: u32 = 8;
 
@@ -87,6 +89,8 @@
     pub gave_up_runs: bool,
     /// Failed runs for which it is to blame.
     pub failure_score: f64,
+    /// Whether it has completed a run in this term.
+    pub is_proven: bool,
     /// Used only if the others do not suffice before this time, since runs have failed there, steady ms.
     pub excluded_until_ms: u64,
     /// Earliest time of the next look at the progress of its runs, steady ms.
@@ -127,6 +131,7 @@
             reconciled: false,
             gave_up_runs: false,
             failure_score: 0.0,
+            is_proven: false,
             excluded_until_ms: 0,
             next_sample_ms: 0,
             quarantined_until_ms: 0,
@@ -167,25 +172,28 @@
         start_verdict(StartStage::Placement, &conditions) == StartVerdict::Pass
     }
 
-    /// Sets the failures for which it is to blame. If they are too few, it is no longer excluded.
-    pub fn set_failure_score(&mut self, score: f64) {
-        self.failure_score = score;
-        if score < EXCLUSION_SCORE {
-            self.excluded_until_ms = 0;
+    /// Sets how far it is to blame for failed runs. It is excluded for a time after the last of them if
+    /// they are enough; an exclusion for which the work turns out to be to blame is lifted.
+    pub fn set_blame(&mut self, blame: UpstreamBlame, now_ms: u64) {
+        self.failure_score = blame.score;
+        let until_ms = blame.last_ms + EXCLUSION_MS;
+        let is_excluded = self.excluded_until_ms > now_ms;
+        if blame.score >= EXCLUSION_SCORE && until_ms > self.excluded_until_ms.max(now_ms) {
+            self.excluded_until_ms = until_ms;
+            log::warn!(
+                target: "hemlockramp::work::owner::replies",
+                upstream = self.name.as_str(), failures = blame.score, until_ms;
+                "owner: an upstream is excluded after failed runs."
+            );
         }
-    }
-
-    /// Excludes it until then if its failed runs speak against it.
-    pub fn exclude_if_failing(&mut self, until_ms: u64) {
-        if self.failure_score < EXCLUSION_SCORE {
-            return;
+        if blame.score < EXCLUSION_SCORE && blame.is_exonerated && is_excluded {
+            self.excluded_until_ms = 0;
+            log::info!(
+                target: "hemlockramp::work::owner::replies",
+                upstream = self.name.as_str(), failures = blame.score;
+                "owner: an upstream is no longer excluded; the work that failed there is to blame."
+            );
         }
-        self.excluded_until_ms = until_ms;
-        log::warn!(
-            target: "hemlockramp::work::owner::replies",
-            upstream = self.name.as_str(), failures = self.failure_score, until_ms;
-            "owner: an upstream is excluded after failed runs."
-        );
     }
 
     /// Returns its current life.
--- a/tests/blame.rs
+++ b/tests/blame.rs
@@ -1,13 +1,13 @@
-//! Tests of who is to blame for failed runs: the work or the upstreams.
+//! Tests of the cost of judging who is to blame for failed runs, and of the age of the evidence.
 
 mod support;
 
 use hemlockramp::work::model::amount::ResourceAmount;
 use hemlockramp::work::model::record::JobPhase;
-use hemlockramp::work::owner::failure_ledger::FailureLedger;
+use hemlockramp::work::owner::failure_ledger::{FailedRun, FailureLedger};
 use hemlockramp::work::owner::step_failures::StepRef;
 use hemlockramp::work::owner::work_counts::WorkKind;
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use support::pool_sim::{PoolSim, name, step};
 
@@ -77,18 +77,74 @@
         job: name("hopeless"),
         step: 0,
     };
+    let fail = |ledger: &mut FailureLedger, upstream: &str, now_ms: u64| {
+        ledger.add_failure(FailedRun {
+            step: &step,
+            upstream: &name(upstream),
+            tasks: 100,
+            is_step_done: false,
+            is_upstream_proven: true,
+            now_ms,
+        });
+    };
     for index in 0..100 {
-        ledger.add_failure(&step, &name(&format!("u{index:03}")), 1_000);
+        fail(&mut ledger, &format!("u{index:03}"), 1_000);
     }
-    ledger.add_failure(&step, &name("u000"), 30_000);
+    fail(&mut ledger, "u000", 30_000);
     let take_all = |ledger: &mut FailureLedger, now_ms: u64| {
         (0..100).for_each(|_| drop(ledger.take_changes(now_ms)));
     };
     take_all(&mut ledger, 60_000);
-    assert!(ledger.score(&name("u099")) > 0.0, "forgotten too early");
+    assert!(
+        ledger.blame(&name("u099")).score > 0.0,
+        "forgotten too early"
+    );
     take_all(&mut ledger, 62_000);
-    assert_eq!(ledger.score(&name("u099")), 0.0);
-    assert!(ledger.score(&name("u000")) > 0.0, "it failed again later");
+    assert_eq!(ledger.blame(&name("u099")).score, 0.0);
+    assert!(
+        ledger.blame(&name("u000")).score > 0.0,
+        "it failed again later"
+    );
     take_all(&mut ledger, 92_000);
     assert!(ledger.is_empty());
 }
+
+/// Random runs of more steps than are kept for an upstream: nothing of them is left in the end.
+#[test]
+fn evidence_of_random_runs_is_forgotten_whole() {
+    for seed in 0..20 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut ledger = FailureLedger::default();
+        let upstreams: Vec<_> = (0..40).map(|index| name(&format!("u{index:03}"))).collect();
+        let mut now_ms = 1_000;
+        for _ in 0..10_000 {
+            now_ms += random.random_range(0..60);
+            let step = StepRef {
+                job: name(&format!("job{}", random.random_range(0..30))),
+                step: 0,
+            };
+            let upstream = &upstreams[random.random_range(0..upstreams.len())];
+            match random.random_bool(0.3) {
+                true => ledger.add_success(&step, upstream),
+                false => ledger.add_failure(FailedRun {
+                    step: &step,
+                    upstream,
+                    tasks: random.random_range(1..100),
+                    is_step_done: random.random_bool(0.1),
+                    is_upstream_proven: random.random_bool(0.9),
+                    now_ms,
+                }),
+            }
+            ledger.take_changes(now_ms);
+        }
+        for _ in 0..5_000 {
+            ledger.take_changes(now_ms + 200_000);
+        }
+        assert!(ledger.is_empty(), "seed {seed}");
+        let blames = upstreams.iter().map(|upstream| ledger.blame(upstream));
+        assert!(
+            blames.into_iter().all(|blame| blame.score == 0.0),
+            "seed {seed}"
+        );
+    }
+}
