--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -11,6 +11,7 @@
 mod due_upstreams;
 mod ends;
 pub mod failure_ledger;
+pub mod failure_standing;
 mod fencing;
 pub mod job_state;
 mod loss_proof;
@@ -104,6 +105,8 @@
     upstreams: Vec<UpstreamState>,
     failures: FailureLedger,
     due: DueUpstreams,
+    /// Number of upstreams that have completed a run in this term.
+    proven_upstreams: usize,
     pending_starts: VecDeque<PendingStart>,
     /// Sorted by batch.
     pending_ends: VecDeque<PendingEnds>,
@@ -153,6 +156,7 @@
             upstreams: Vec::new(),
             failures: FailureLedger::default(),
             due: DueUpstreams::default(),
+            proven_upstreams: 0,
             pending_starts: VecDeque::new(),
             pending_ends: VecDeque::new(),
             ready: Vec::new(),
