Let units go on with their locality wait under a new owner

Cause: a new owner took every waiting unit for one that begins to wait. A unit with data waits for its rack for up to 15 s in a busy pool, a guaranteed gang for half of the time within which it has to start, and each change of the owner began that anew.

Units that have never run now wait since their job's acceptance, which is stored, as they do under the owner that saw it. Those that were stopped still begin anew: the time of the stop is not stored.

The test has a unit wait 3 of its 4 s, then changes the owner; before, it had not started 1.5 s later. Found by reading; by how much it shortens the seconds after a takeover on the large site is not shown.

--- a/src/work/owner/restore.rs
+++ b/src/work/owner/restore.rs
@@ -29,6 +29,7 @@
             job.restore(stored);
             self.restore_held_tasks(&job);
         }
+        self.restore_waits(&mut job);
         let over = job.phase.is_over();
         self.jobs.insert(index, job);
         self.resolve_restored_losses(index);
@@ -40,6 +41,16 @@
         self.placement_due = true;
     }
 
+    /// Dates the waits of units that have never run from their job's acceptance, as the owner does
+    /// that saw it. Otherwise they would wait for their racks anew under each owner.
+    fn restore_waits(&self, job: &mut JobState) {
+        let waited_ms = self.now.wall_ms.saturating_sub(job.record.accepted_ms);
+        let since_ms = self.now.steady_ms.saturating_sub(waited_ms);
+        for unit in job.units.iter_mut().filter(|unit| unit.run == 0) {
+            unit.since_ms = since_ms;
+        }
+    }
+
     /// Sets the final phase of a job whose previous owner recorded the last run's end but not the
     /// phase.
     fn restore_final_phase(&mut self, job: usize) {
