Replace a new owner whose claim does not end

Callers would have seen a pool that nobody serves: since heartbeats go out during a claim, a host whose claim takes long, or for ever, held the pool while leases ran out, and reported itself as at work. Found by a review of the parts, by reading.

Heartbeats of a claim now last for the length of a lease, and count as no round of the loop. After the claim the first one goes out at once: its end keeps the thread, and the first heartbeat of the loop came 450 ms after that.

tests/owner_claims.rs: with a listing that does not end, no other host claimed the pool in 6.5 s before; now one does.

--- a/src/work/owner_loop/claim.rs
+++ b/src/work/owner_loop/claim.rs
@@ -111,8 +111,8 @@
     })
 }
 
-/// Does part of a claim, and writes heartbeats for as long as it takes: other hosts count the time
-/// from the claim as well.
+/// Does part of a claim, and writes heartbeats meanwhile: other hosts count the time from the claim as
+/// well.
 async fn with_heartbeats<S: StorePort, O, R, T>(
     context: &HostContext<S, O, R>,
     jobs: &OwnerWriter,
@@ -129,23 +129,28 @@
     Ok(result)
 }
 
-/// Writes heartbeats until `done` is notified.
+/// Writes heartbeats until `done` is notified, for the length of a lease at most: leases are not renewed
+/// during a claim, so a host that needs longer has to be replaced.
 async fn write_heartbeats<S: StorePort, O, R>(
     context: &HostContext<S, O, R>,
     jobs: &OwnerWriter,
     done: &Notify,
 ) -> Result<(), Report> {
+    let until_ms = steady_ms() + context.identity.timing.lease_ms;
     loop {
         tokio::select! {
             () = done.notified() => return Ok(()),
             () = tokio::time::sleep(Duration::from_millis(HEARTBEAT_INTERVAL_MS)) => {}
         }
+        if steady_ms() >= until_ms {
+            done.notified().await;
+            return Ok(());
+        }
         let sent_ms = steady_ms();
         let record = WorkRecord::Owner(owner_record(context, jobs.term, false));
         let appended = jobs.append_items(context, vec![KeyedValue::from(&record)], |_, _| {});
         appended.await.map_err(|stop| eyre!("{}", stop.failure))?;
         context.term_status.confirm(sent_ms);
-        context.term_status.turn(steady_ms());
     }
 }
 
--- a/src/work/owner_loop/job_writer.rs
+++ b/src/work/owner_loop/job_writer.rs
@@ -22,10 +22,13 @@
         self.context.group_commit.open(self.term);
         // They go out with the next append, which they do not hasten.
         let mut removals = Vec::new();
+        // The end of a claim takes the thread for long, so the first heartbeat goes out at once.
+        let mut heartbeat_due = true;
         loop {
             let mut queued = std::mem::take(&mut *self.job_rows.borrow_mut());
             let pending = self.context.group_commit.take(self.term);
-            if queued.is_empty() && pending.is_empty() {
+            let is_idle = queued.is_empty() && pending.is_empty();
+            if is_idle && !std::mem::take(&mut heartbeat_due) {
                 if self.ended.get() {
                     break;
                 }
--- a/tests/owner_claims.rs
+++ b/tests/owner_claims.rs
@@ -21,6 +21,8 @@
 
 /// Time that a new owner takes to read what it starts from, in ms.
 const LISTING_MS: u64 = 2_500;
+/// Time that a listing takes which does not end while hosts are observed, in ms.
+const ENDLESS_MS: u64 = 60_000;
 /// Time for which the hosts are observed, in ms. It leaves time for two more claims.
 const OBSERVED_MS: u64 = 6_500;
 
@@ -91,32 +93,56 @@
     );
 }
 
-/// Guards against owners that replace each other without end: a new owner wrote no heartbeat until it
-/// had read all rows, and the next host claimed the pool before it had.
-#[test]
-fn new_owner_that_reads_long_is_not_replaced_meanwhile() {
+/// Returns a store with a configuration, in which listings of runs take a time.
+fn store_with_slow_listings(delay_ms: u64) -> MemoryStore {
+    let store = MemoryStore::default();
+    let value = vec![1];
+    let key = "config".to_owned();
+    store.put(StreamName::Config, KeyedValue { key, value });
+    store.delay_listings(StreamName::Runs, delay_ms);
+    store
+}
+
+/// Starts three hosts and returns the first term.
+async fn start_hosts(store: &MemoryStore) -> u64 {
+    for (host, rank) in [("a", 0.0), ("b", 0.3), ("c", 0.35)] {
+        start_host(store, host, rank).await;
+    }
+    while store.epoch(StreamName::Jobs) == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    store.epoch(StreamName::Jobs)
+}
+
+fn run_local(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .expect("build the runtime");
-    LocalSet::new().block_on(&runtime, async {
-        let store = MemoryStore::default();
-        let value = vec![1];
-        let key = "config".to_owned();
-        store.put(StreamName::Config, KeyedValue { key, value });
-        store.delay_listings(StreamName::Runs, LISTING_MS);
-        for (host, rank) in [("a", 0.0), ("b", 0.3), ("c", 0.35)] {
-            start_host(&store, host, rank).await;
-        }
-        while store.epoch(StreamName::Jobs) == 0 {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-        let first = store.epoch(StreamName::Jobs);
+    LocalSet::new().block_on(&runtime, test);
+}
+
+/// Guards against owners that replace each other without end: a new owner wrote no heartbeat until it
+/// had read all rows, and the next host claimed the pool before it had.
+#[test]
+fn new_owner_that_reads_long_is_not_replaced_meanwhile() {
+    run_local(async {
+        let store = store_with_slow_listings(LISTING_MS);
+        let first = start_hosts(&store).await;
+        tokio::time::sleep(Duration::from_millis(OBSERVED_MS)).await;
+        let last = store.epoch(StreamName::Jobs);
+        assert_eq!(last, first, "another host claimed the pool");
+    });
+}
+
+/// Guards against a pool that nobody serves: a host whose claim never ended wrote heartbeats for ever.
+#[test]
+fn new_owner_that_never_ends_its_claim_is_replaced() {
+    run_local(async {
+        let store = store_with_slow_listings(ENDLESS_MS);
+        let first = start_hosts(&store).await;
         tokio::time::sleep(Duration::from_millis(OBSERVED_MS)).await;
-        assert_eq!(
-            store.epoch(StreamName::Jobs),
-            first,
-            "another host claimed the pool"
-        );
+        let last = store.epoch(StreamName::Jobs);
+        assert_ne!(last, first, "no other host claimed the pool");
     });
 }
