Handle the newest of the answers that were asked for at once first

Ends are acknowledged only within 250 ms after an answer. If more upstreams than can be handled in that time wait for it, each answer was too old when its turn came, all were asked again, and no end was ever acknowledged: by reading, in a review. With the newest first, some always are. A failed probe no longer goes before answers that leases depend on.

--- a/src/work/owner_loop/answer_inbox.rs
+++ b/src/work/owner_loop/answer_inbox.rs
@@ -22,7 +22,11 @@
     /// Adds an answer.
     pub fn push(&mut self, answer: ArrivedAnswer) {
         let rank_ms = answer.rank_ms();
-        let index = self.rows.partition_point(|row| row.rank_ms() <= rank_ms);
+        let index = match answer.is_immediate() {
+            // If too many wait for all to be handled in time, the newest still are.
+            true => 0,
+            false => self.rows.partition_point(|row| row.rank_ms() <= rank_ms),
+        };
         self.rows.insert(index, answer);
     }
 
--- a/src/work/owner_loop/upstream_answer.rs
+++ b/src/work/owner_loop/upstream_answer.rs
@@ -42,12 +42,17 @@
     /// Returns the answer's place among those that wait; the lowest is handled first.
     ///
     /// Orders grant leases, so the answer to the oldest order concerns the lease that ends first. An
-    /// upstream that is asked for an answer at once comes before all others: its ends are acknowledged
-    /// only right after an answer.
+    /// upstream that answers at once, as it was asked to, comes before all others: its ends are
+    /// acknowledged only right after an answer.
     pub fn rank_ms(&self) -> u64 {
-        match &self.answer {
-            UpstreamAnswer::Renewed(order, _) if order.wait_ms == 0 => 0,
-            _ => self.sent_ms,
+        match self.is_immediate() {
+            true => 0,
+            false => self.sent_ms,
         }
     }
+
+    /// Returns whether the answer is one to a renewal that was not to be held open.
+    pub fn is_immediate(&self) -> bool {
+        matches!(&self.answer, UpstreamAnswer::Renewed(order, Ok(_)) if order.wait_ms == 0)
+    }
 }
