Update the set of peers only when a host announces itself or leaves

Each record of the jobs stream compared all hosts with all peers, on every host; with 147 hosts some ten thousand comparisons, and on the owner once for each record of a group commit.

--- a/src/work/state/context.rs
+++ b/src/work/state/context.rs
@@ -191,6 +191,7 @@
     /// failure detector and the set of peers.
     pub fn apply_jobs(&self, records: &[StreamRecord]) {
         self.jobs_view.borrow_mut().set_time(steady_ms());
+        let mut hosts_changed = false;
         for record in records {
             let change = self.jobs_view.borrow_mut().apply(record);
             match change {
@@ -199,6 +200,7 @@
                     .election
                     .borrow_mut()
                     .record_owner_heartbeat(steady_ms()),
+                ViewChange::Host => hosts_changed = true,
                 ViewChange::Other => {}
             }
         }
@@ -207,7 +209,9 @@
         if self.active_config.learn_version(version, steady_ms()) {
             self.config_wake.notify_one();
         }
-        self.update_peers();
+        if hosts_changed {
+            self.update_peers();
+        }
     }
 
     fn notify_owner(&self, id: &ObjectName) {
--- a/src/work/state/jobs_view.rs
+++ b/src/work/state/jobs_view.rs
@@ -141,6 +141,8 @@
     Job(ObjectName),
     /// The owner sent a heartbeat or changed.
     Owner,
+    /// A host announced itself or left.
+    Host,
     /// No task has to react.
     Other,
 }
@@ -323,7 +325,7 @@
                     record,
                     offset,
                 });
-                ViewChange::Other
+                ViewChange::Host
             }
         }
     }
