--- a/src/work/owner_loop/mod.rs
+++ b/src/work/owner_loop/mod.rs
@@ -16,7 +16,7 @@
 mod report_sink;
 pub mod turn_budget;
 mod turn_meter;
-mod turns;
+pub mod turns;
 pub mod upstream_answer;
 mod writer;
 
--- a/src/work/owner_loop/turns.rs
+++ b/src/work/owner_loop/turns.rs
@@ -16,7 +16,7 @@
 const TICK_INTERVAL_MAX_MS: u64 = 60;
 /// Part of a lease after which an answer to its renewal waits no longer, in percent. The rest is left
 /// for the next renewal to reach the upstream.
-const PUT_OFF_LEASE_PERCENT: u64 = 66;
+pub const PUT_OFF_LEASE_PERCENT: u64 = 66;
 
 impl<S: StorePort, O: OrderPort, R: RecordReader> OwnerLoop<S, O, R> {
     /// Takes turns until the term has ended.
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -21,6 +21,9 @@
     StartOutcome, StartRefusal, StopOrder, UpstreamReport,
 };
 use hemlockramp::work::owner::{OwnerTiming, PoolOwner, RowBatch, UpstreamOrder};
+use hemlockramp::work::owner_loop::answer_inbox::AnswerInbox;
+use hemlockramp::work::owner_loop::turns::PUT_OFF_LEASE_PERCENT;
+use hemlockramp::work::owner_loop::upstream_answer::{ArrivedAnswer, UpstreamAnswer};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
@@ -144,6 +147,30 @@
     response: OrderResponse,
 }
 
+impl PendingResponse {
+    /// Returns the response as it waits for the owner.
+    fn arrive(self, owner: &PoolOwner) -> ArrivedAnswer {
+        let renewal_sent_ms = |name: &ObjectName| {
+            let mut upstreams = owner.upstreams().iter();
+            let upstream = upstreams.find(|one| one.name == *name);
+            upstream.map(|upstream| upstream.renewal_sent_ms)
+        };
+        let (answer, sent_ms) = match self.response {
+            OrderResponse::Start(order, outcome) => (UpstreamAnswer::Started(order, outcome), None),
+            OrderResponse::Stop(order, result) => (UpstreamAnswer::Stopped(order, result), None),
+            OrderResponse::Renew(order, result) => {
+                let sent_ms = renewal_sent_ms(&order.target.upstream);
+                (UpstreamAnswer::Renewed(order, result), sent_ms)
+            }
+        };
+        ArrivedAnswer {
+            answer,
+            sent_ms: sent_ms.unwrap_or(self.due_ms),
+            arrived_ms: self.due_ms,
+        }
+    }
+}
+
 /// Probabilities of injected faults, in thousandths.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FaultRates {
@@ -206,6 +233,8 @@
     pub evacuated: EvacuatedDomains,
     pub owner: Option<PoolOwner>,
     pub batch_delay_ms: u64,
+    /// Number of answers that the owner handles in a step at most.
+    pub answers_per_step: usize,
     /// Time that stopping a run takes, in ms.
     pub stop_ms: u64,
     /// Number of ends that an upstream lists at most.
@@ -230,6 +259,9 @@
     batch: Option<(u64, RowBatch)>,
     in_flight_orders: Vec<InFlightOrder>,
     half_answers: Vec<HalfAnswer>,
+    /// Answers that wait for the owner of the term.
+    inbox: AnswerInbox,
+    inbox_term: u64,
     pending_responses: Vec<PendingResponse>,
     histories: Vec<TaskHistory>,
     /// Violated invariants; each text begins with the task's name.
@@ -282,6 +314,7 @@
             evacuated: EvacuatedDomains::default(),
             owner: None,
             batch_delay_ms: 20,
+            answers_per_step: usize::MAX,
             stop_ms: STOP_MS,
             listed_ends_max: 500,
             listing: Listing::default(),
@@ -302,6 +335,8 @@
             batch: None,
             in_flight_orders: Vec::new(),
             half_answers: Vec::new(),
+            inbox: AnswerInbox::default(),
+            inbox_term: 0,
             pending_responses: Vec::new(),
             histories: Vec::new(),
             violations: Vec::new(),
@@ -798,15 +833,27 @@
         self.pending_responses = later;
         let time = self.time();
         let term = self.term;
+        if self.inbox_term != term {
+            self.inbox.clear();
+            self.inbox_term = term;
+        }
         let Some(owner) = &mut self.owner else { return };
-        owner.set_time(time);
         for pending in due.into_iter().filter(|pending| pending.term == term) {
-            match pending.response {
-                OrderResponse::Start(order, outcome) => owner.on_started(&order, outcome),
-                OrderResponse::Stop(order, result) => owner.on_stopped(&order, result),
-                OrderResponse::Renew(order, result) => owner.on_renewed(&order, result),
-            }
+            self.inbox.push(pending.arrive(owner));
         }
+        for _ in 0..self.answers_per_step {
+            let Some(next) = self.inbox.pop() else { break };
+            owner.set_answer_time(time, next.arrived_ms);
+            next.answer.apply(owner);
+        }
+        let sent_by_ms = now_ms - TIMING.lease_ms * PUT_OFF_LEASE_PERCENT / 100;
+        self.inbox.drop_old(sent_by_ms, |row| match &row.answer {
+            UpstreamAnswer::Renewed(order, Ok(reply)) => {
+                owner.set_answer_time(time, row.arrived_ms);
+                owner.put_off_renewal(order, reply)
+            }
+            _ => false,
+        });
     }
 
     fn start(&mut self, index: usize, order: &StartOrder) -> StartOutcome {
