Count a job's waiting and unfinished units instead of walking them

Each end of a task walked all units of its job to see whether it was the last one, and the placement round after it walked the units of all open jobs for those that wait, in jobs of which all were placed as well.

A job now keeps two counts, changed wherever a unit's phase is set; units are walked only in jobs with waiting ones. The simulated pool checks the counts after each tick.

--- a/src/work/owner/ends.rs
+++ b/src/work/owner/ends.rs
@@ -117,9 +117,7 @@
     }
 
     fn complete_unit(&mut self, job: usize, unit: usize) {
-        self.jobs[job].units[unit].phase = UnitPhase::Done;
-        self.counts
-            .add(WorkKind::ScanStep, self.jobs[job].units.len());
+        self.jobs[job].set_unit_phase(unit, UnitPhase::Done);
         if self.jobs[job].is_done() {
             self.set_phase(job, JobPhase::Completed);
         }
--- a/src/work/owner/job_state.rs
+++ b/src/work/owner/job_state.rs
@@ -34,12 +34,17 @@
     pub biases: Vec<StepBias>,
     /// Units with lost runs in their history, and some that had them, sorted.
     pub(super) crashed_units: Vec<usize>,
+    /// Number of units that wait.
+    waiting: usize,
+    /// Number of units that are not done.
+    undone: usize,
 }
 
 impl JobState {
     /// Creates the state of a job with no placed tasks.
     pub fn new(id: ObjectName, record: Rc<JobRecord>, phase: JobPhase, now_ms: u64) -> Self {
         let shapes = unit_shapes(&record);
+        let unit_count = shapes.len();
         let empty = |shape: &UnitShape| UnitState {
             members: vec![MemberState::default(); shape.count as usize],
             since_ms: now_ms,
@@ -56,9 +61,35 @@
             recorded_phase: phase,
             orders_due: true,
             crashed_units: Vec::new(),
+            waiting: unit_count,
+            undone: unit_count,
         }
     }
 
+    /// Sets the phase of a unit.
+    pub(super) fn set_unit_phase(&mut self, unit: usize, phase: UnitPhase) {
+        let before = std::mem::replace(&mut self.units[unit].phase, phase);
+        self.waiting -= usize::from(before == UnitPhase::Waiting);
+        self.waiting += usize::from(phase == UnitPhase::Waiting);
+        self.undone -= usize::from(before != UnitPhase::Done);
+        self.undone += usize::from(phase != UnitPhase::Done);
+    }
+
+    /// Counts the units by phase anew, after the task state was restored.
+    pub(super) fn count_units(&mut self) {
+        let count = |is_counted: fn(UnitPhase) -> bool| {
+            let phases = self.units.iter().map(|unit| unit.phase);
+            phases.filter(|&phase| is_counted(phase)).count()
+        };
+        self.waiting = count(|phase| phase == UnitPhase::Waiting);
+        self.undone = count(|phase| phase != UnitPhase::Done);
+    }
+
+    /// Returns the number of units that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
     /// Notes a lost run of a unit's member.
     pub(super) fn add_loss(&mut self, unit: usize, member: usize, loss: LossRecord) {
         if let Err(index) = self.crashed_units.binary_search(&unit) {
@@ -107,7 +138,7 @@
     /// Returns the waiting units whose round is due and whose preceding steps are done, ordered by
     /// round and step.
     pub fn ready_units(&self, wall_ms: u64) -> Vec<usize> {
-        if self.phase.is_over() {
+        if self.phase.is_over() || self.waiting == 0 {
             return Vec::new();
         }
         let steps = self.record.spec.steps.len();
@@ -131,7 +162,7 @@
 
     /// Returns whether all units are done.
     pub fn is_done(&self) -> bool {
-        self.units.iter().all(|unit| unit.phase == UnitPhase::Done)
+        self.undone == 0
     }
 
     /// Returns whether no unit is on an upstream.
--- a/src/work/owner/mod.rs
+++ b/src/work/owner/mod.rs
@@ -281,9 +281,8 @@
 
     /// Stops the remaining members of a unit's run; the unit waits again once none is placed.
     fn stop_unit(&mut self, job: usize, unit: usize) {
-        let state = &mut self.jobs[job].units[unit];
-        if state.phase == UnitPhase::Active {
-            state.phase = UnitPhase::Stopping;
+        if self.jobs[job].units[unit].phase == UnitPhase::Active {
+            self.jobs[job].set_unit_phase(unit, UnitPhase::Stopping);
             self.jobs[job].rows.mark_unit(unit);
             self.jobs[job].orders_due = true;
         }
@@ -294,8 +293,8 @@
         let now_ms = self.now.steady_ms;
         let state = &mut self.jobs[job].units[unit];
         if state.phase == UnitPhase::Stopping && state.is_clear() {
-            state.phase = UnitPhase::Waiting;
             state.since_ms = now_ms;
+            self.jobs[job].set_unit_phase(unit, UnitPhase::Waiting);
             self.jobs[job].rows.mark_unit(unit);
             self.placement_due = true;
         }
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -318,9 +318,9 @@
         let id = self.jobs[job].id.clone();
         let need = self.jobs[job].step(unit).need;
         let now_ms = self.now.steady_ms;
+        self.jobs[job].set_unit_phase(unit, UnitPhase::Active);
         let state = &mut self.jobs[job].units[unit];
         let waited_ms = now_ms.saturating_sub(state.since_ms);
-        state.phase = UnitPhase::Active;
         state.wait_logged = false;
         state.run += 1;
         state.resumed = state.checkpoint.clone();
--- a/src/work/owner/row_records.rs
+++ b/src/work/owner/row_records.rs
@@ -39,6 +39,7 @@
             restore_phase(unit);
         }
         self.find_crashed_units();
+        self.count_units();
     }
 
     /// Returns the rows that have changed, to be stored in this order.
--- a/src/work/owner/waiting.rs
+++ b/src/work/owner/waiting.rs
@@ -20,6 +20,9 @@
         let shares = self.team_shares();
         let mut found: Vec<WaitingStep> = Vec::new();
         for job in 0..self.jobs.len() {
+            if self.jobs[job].waiting() == 0 {
+                continue;
+            }
             self.counts
                 .add(WorkKind::ScanStep, self.jobs[job].units.len());
             let mut ready = self.jobs[job].ready_units(self.now.wall_ms);
--- a/tests/event_cost.rs
+++ b/tests/event_cost.rs
@@ -130,6 +130,21 @@
     }
 }
 
+#[test]
+fn an_end_costs_the_same_in_a_large_job() {
+    let [small, large] = JOB_SIZES.map(|tasks| {
+        let mut pool = pool_with_job(tasks);
+        fewest_steps(&mut pool, WorkKind::ScanStep, |pool, turn| {
+            end_one(pool, turn);
+            pool.turn();
+        })
+    });
+    assert!(
+        large <= small + SLACK_STEPS,
+        "{small} steps in a small job, {large} in a large one"
+    );
+}
+
 #[test]
 fn an_upstream_that_answers_again_costs_the_same_beside_a_large_job() {
     let [small, large] = JOB_SIZES.map(|tasks| {
--- a/tests/support/pool_sim.rs
+++ b/tests/support/pool_sim.rs
@@ -20,6 +20,7 @@
     EndKind, EndedTask, OrderFailure, RenewOrder, RenewReply, RunningTask, StartOrder,
     StartOutcome, StartRefusal, StopOrder, UpstreamReport,
 };
+use hemlockramp::work::owner::unit_state::UnitPhase;
 use hemlockramp::work::owner::{OwnerTiming, PoolOwner, RowBatch, UpstreamOrder};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -583,6 +584,7 @@
         let Some(owner) = &mut self.owner else { return };
         owner.tick(time);
         assert_nothing_overdue(owner, self.now_ms);
+        assert_units_are_counted(owner);
         let orders = owner.take_orders();
         if self.batch.is_none()
             && let Some(batch) = owner.take_batch()
@@ -1153,6 +1155,16 @@
     }
 }
 
+/// The counts of a job's units follow their phases.
+fn assert_units_are_counted(owner: &PoolOwner) {
+    for job in owner.jobs() {
+        let count = |phase: UnitPhase| job.units.iter().filter(|unit| unit.phase == phase).count();
+        assert_eq!(job.waiting(), count(UnitPhase::Waiting), "{}", job.id);
+        let done = count(UnitPhase::Done) == job.units.len();
+        assert_eq!(job.is_done(), done, "{}", job.id);
+    }
+}
+
 fn report(upstream: &SimUpstream, now_ms: u64) -> UpstreamReport {
     UpstreamReport {
         name: upstream.name.clone(),
