Ask once whether the tasks of a step fit into one rack

For each task of a step that is to share a rack, all upstreams were gone through to see whether some rack could hold it, and all excluded upstreams to see how much of the pool is in use. The answer to the first is kept for the units that follow, the amounts of the second are kept with the pool.

The test failed before: the round of 416 such tasks on 1,100 upstreams was cut short for its search steps before all were placed.

--- a/src/work/owner/placement_pool.rs
+++ b/src/work/owner/placement_pool.rs
@@ -1,10 +1,15 @@
 //! The schedulable upstreams of one pool, updated during a placement round.
 
+use std::cell::Cell;
+
 use crate::tables::name::ObjectName;
 use crate::work::model::amount::ResourceAmount;
 use crate::work::owner::running_work::RunningWork;
+use crate::work::owner::work_counts::{WorkCounts, WorkKind};
 use crate::work::placing::headroom::required_headroom;
-use crate::work::placing::placement::{CandidateUpstream, CapacityClaim, UnitDemand};
+use crate::work::placing::placement::{
+    CandidateUpstream, CapacityClaim, UnitDemand, fits_in_one_rack,
+};
 
 /// Share of the capacity in use above which a pool counts as busy, in thousandths.
 const BUSY_SHARE_MILLI: u64 = 450;
@@ -16,7 +21,11 @@
     /// Index in the owner's table of each candidate.
     pub(super) upstream_indexes: Vec<usize>,
     /// Upstreams that are used only if the candidates do not suffice, with their indexes.
-    pub(super) excluded: Vec<(usize, CandidateUpstream)>,
+    excluded: Vec<(usize, CandidateUpstream)>,
+    /// Capacity of the candidates and the excluded upstreams.
+    whole_capacity: ResourceAmount,
+    /// Free capacity of the excluded upstreams.
+    excluded_free: ResourceAmount,
     /// Candidates with a reservation, sorted.
     reserved: Vec<usize>,
     /// Total capacity of the candidates.
@@ -27,6 +36,16 @@
     pub(super) urgent: ResourceAmount,
     /// Work on the candidates, once it is needed.
     pub(super) work: Option<RunningWork>,
+    /// Whether the unit that was asked about last fits into one rack.
+    rack_fit: Cell<Option<RackFit>>,
+}
+
+/// Whether tasks fit into one rack that is empty.
+#[derive(Clone, Copy)]
+struct RackFit {
+    need: ResourceAmount,
+    count: usize,
+    fits: bool,
 }
 
 impl PlacementPool {
@@ -37,11 +56,14 @@
             candidates: Vec::new(),
             upstream_indexes: Vec::new(),
             excluded: Vec::new(),
+            whole_capacity: ResourceAmount::default(),
+            excluded_free: ResourceAmount::default(),
             reserved: Vec::new(),
             capacity: ResourceAmount::default(),
             free: ResourceAmount::default(),
             urgent,
             work: None,
+            rack_fit: Cell::new(None),
         }
     }
 
@@ -49,12 +71,37 @@
         if candidate.reserved.is_some() {
             self.reserved.push(self.candidates.len());
         }
+        self.whole_capacity = self.whole_capacity.plus(&candidate.capacity);
         self.capacity = self.capacity.plus(&candidate.capacity);
         self.free = self.free.plus(&candidate.free);
         self.upstream_indexes.push(upstream_index);
         self.candidates.push(candidate);
     }
 
+    /// Adds an upstream that is used only if the others do not suffice.
+    pub(super) fn exclude(&mut self, upstream_index: usize, candidate: CandidateUpstream) {
+        self.whole_capacity = self.whole_capacity.plus(&candidate.capacity);
+        self.excluded_free = self.excluded_free.plus(&candidate.free);
+        self.excluded.push((upstream_index, candidate));
+    }
+
+    /// Returns whether some rack could hold the whole unit if the rack were empty.
+    pub(super) fn fits_in_one_rack(&self, demand: &UnitDemand, counts: &WorkCounts) -> bool {
+        let known = self.rack_fit.get();
+        let same = known.filter(|known| known.need == demand.need && known.count == demand.count);
+        if let Some(known) = same {
+            return known.fits;
+        }
+        counts.add(WorkKind::SearchStep, self.candidates.len());
+        let fits = fits_in_one_rack(demand, &self.candidates);
+        self.rack_fit.set(Some(RackFit {
+            need: demand.need,
+            count: demand.count,
+            fits,
+        }));
+        fits
+    }
+
     /// Reserves a candidate for a claim.
     pub(super) fn reserve(&mut self, index: usize, claim: &CapacityClaim) {
         self.candidates[index].reserved = Some(claim.clone());
@@ -106,12 +153,8 @@
         if self.excluded.is_empty() || waits_for_place {
             return false;
         }
-        let excluded = self.excluded.iter().map(|(_, upstream)| upstream);
-        let (capacity, free) = excluded
-            .fold((self.capacity, self.free), |(capacity, free), one| {
-                (capacity.plus(&one.capacity), free.plus(&one.free))
-            });
-        !is_in_use(&capacity, &free) || self.candidates.is_empty()
+        let free = self.free.plus(&self.excluded_free);
+        !is_in_use(&self.whole_capacity, &free) || self.candidates.is_empty()
     }
 
     /// Returns the pool with its excluded upstreams among the candidates.
--- a/src/work/owner/planning.rs
+++ b/src/work/owner/planning.rs
@@ -10,7 +10,7 @@
 use crate::work::owner::upstream_state::HeldTask;
 use crate::work::owner::work_counts::WorkKind;
 use crate::work::placing::locality_wait::LocalityWait;
-use crate::work::placing::placement::{CandidateUpstream, Isolation, UnitDemand, fits_in_one_rack};
+use crate::work::placing::placement::{CandidateUpstream, Isolation, UnitDemand};
 use crate::work::placing::sibling_counts::SiblingCounts;
 use crate::work::placing::slowdown::{SlowdownLimit, SpeedPreference};
 
@@ -56,7 +56,7 @@
                     .filter(|_| upstream.reserved_until_ms > now_ms),
             };
             match upstream.excluded_until_ms > now_ms {
-                true => result.excluded.push((index, candidate)),
+                true => result.exclude(index, candidate),
                 false => result.add(index, candidate),
             }
         }
@@ -103,8 +103,7 @@
             isolation: self.isolation(job, unit, waited_ms),
         };
         if demand.same_rack && !demand.may_span_racks {
-            self.counts.add(WorkKind::SearchStep, pool.candidates.len());
-            demand.may_span_racks = !fits_in_one_rack(&demand, &pool.candidates);
+            demand.may_span_racks = !pool.fits_in_one_rack(&demand, &self.counts);
         }
         demand
     }
--- a/tests/placement_cost.rs
+++ b/tests/placement_cost.rs
@@ -111,6 +111,16 @@
             per_upstream: 3,
             per_task: 4,
         },
+        StepCase {
+            name: "a wide step that is to share a rack",
+            upstreams: MANY_UPSTREAMS,
+            step: StepSpec {
+                same_rack: true,
+                ..step(416, 10_000, 1, false)
+            },
+            per_upstream: 4,
+            per_task: 4,
+        },
         StepCase {
             name: "a gang",
             upstreams: MANY_UPSTREAMS,
