--- a/tests/placement_cost.rs
+++ b/tests/placement_cost.rs
@@ -78,8 +78,8 @@
     per_task: u64,
 }
 
-/// Guards against a silent owner (the large site, deadly days): each placement compared the names of
-/// all placed tasks of the step with those of all upstreams.
+/// Guards against a silent owner: each placement compared the names of all placed tasks of the step
+/// with those of all upstreams.
 #[test]
 fn search_of_room_for_a_step_does_not_grow_with_its_tasks() {
     let cases = [
@@ -158,7 +158,7 @@
     work
 }
 
-/// Guards against a pool without an owner (third review): one job of 20,000 tasks held each owner's
+/// Guards against a pool without an owner: one job of 20,000 tasks held each owner's
 /// thread for a whole round of some 25 s, so that its heartbeats and renewals got no turn.
 #[test]
 fn a_wide_step_is_placed_in_bounded_rounds() {
